--- /dev/null
+++ b/alderspool/__init__.py
@@ -0,0 +1,3 @@
+"""alderspool: a real load-balancing proxy on sockets, round the decisions of lynxlift."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/alderspool/program/__init__.py
@@ -0,0 +1,1 @@
+"""The program: configuration, wiring, signals and the command line."""
--- /dev/null
+++ b/alderspool/program/app.py
@@ -0,0 +1,71 @@
+"""Wires the parts together, and takes them down in order."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import signal
+
+from loguru import logger
+
+from alderspool.program.config import Config, ConfigError
+from alderspool.protocol.submitters import Reader
+from alderspool.routing.clock import Clock
+from alderspool.routing.exchange import Exchange
+from alderspool.transport.budget import DescriptorBudget
+from alderspool.transport.discovery import DiscoveryClient
+from alderspool.transport.listener import Listener
+from alderspool.transport.nodes import NodePool
+
+# After SIGTERM new connections keep coming for a while, so the door stays open this long.
+ACCEPT_S = 0.7
+# SIGKILL comes no sooner than ACCEPT_S plus the longest deadline, counted as this where it is longer.
+LONGEST_DEADLINE_S = 3.0
+EXIT_MARGIN_S = 0.05
+DRAIN_STEP_S = 0.02
+# A full collection while requests are out would stall them all: what lives from the start is set
+# aside, and the young generation is let grow, so that collections are rare and small.
+GC_THRESHOLDS = (20_000, 50, 1_000)
+
+
+async def serve(config: Config) -> None:
+    """Serves until SIGTERM or SIGINT, then finishes what was taken."""
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    exchange = Exchange(config.settings, config.seed, Clock())
+    budget = DescriptorBudget(config.limits.sockets)
+    pool = NodePool(exchange, config.settings, budget)
+    discovery = DiscoveryClient(*config.discovery, exchange, config.settings, config.known.revision)
+    listener = Listener(exchange, Reader(config.settings), pool, budget)
+    exchange.start(pool, discovery, config.known)
+    try:
+        await listener.open(*config.listen)
+    except OSError as fault:
+        raise ConfigError(f"BALANCER_LISTEN: cannot listen there: {fault.strerror}") from None
+    logger.info(
+        "{} serves at {}:{}; {} machines known", config.name, *config.listen, len(config.known.machines)
+    )
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*GC_THRESHOLDS)
+    await stop.wait()
+    logger.info("{} drains; {} requests owed", config.name, exchange.owed)
+    await _drain(exchange, listener, config)
+    logger.info("{} ends; {}", config.name, exchange.counts)
+
+
+async def _drain(exchange: Exchange, listener: Listener, config: Config) -> None:
+    loop = asyncio.get_running_loop()
+    longest = max(c.deadline_ms for c in config.settings.classes) / 1000.0
+    last = loop.time() + ACCEPT_S + min(longest, LONGEST_DEADLINE_S) - EXIT_MARGIN_S
+    listener.drain()
+    await asyncio.sleep(ACCEPT_S)
+    listener.stop_accepting()
+    while (exchange.owed or listener.held) and loop.time() < last:
+        await asyncio.sleep(DRAIN_STEP_S)
+
+
+def run(config: Config) -> None:
+    asyncio.run(serve(config))
--- /dev/null
+++ b/alderspool/protocol/machine_list.py
@@ -0,0 +1,105 @@
+"""The machine list in discovery's JSON, and the calls that ask for it."""
+
+from __future__ import annotations
+
+import ipaddress
+from typing import Literal
+
+import msgspec
+
+from alderspool.protocol.http_client import ClientWire, Reply
+from alderspool.routing.messages import Machine, MachineList
+from lynxlift.interface import Availability, ServerEntry, Settings
+
+LIST_LIMIT = 4 << 20
+_AVAILABILITY = {
+    "ready": Availability.READY,
+    "draining": Availability.DRAINING,
+    "gone": Availability.GONE,
+}
+
+
+class MachineListError(ValueError):
+    """An answer of discovery that is no machine list."""
+
+
+class EndpointDoc(msgspec.Struct):
+    name: str
+    address: str
+    status: Literal["ready", "draining", "gone"]
+    zone: str = ""
+    type: str = ""
+    group: int = 0
+    weight: float = 1.0
+    since_ms: float = 0.0
+
+
+class MachineListDoc(msgspec.Struct):
+    index: int
+    snapshot: bool
+    endpoints: list[EndpointDoc]
+
+
+_decoder = msgspec.json.Decoder(MachineListDoc)
+
+
+def as_setting(name: str) -> str:
+    """A name as the settings write it."""
+    return name.replace(" ", "_").replace(",", "_")
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    """host:port, the host a literal IP address: there is no DNS to ask."""
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        raise MachineListError(f"not an IP address and port: {text!r}") from None
+    if not (port.isascii() and port.isdigit() and 0 < int(port) < 65536):
+        raise MachineListError(f"not a port: {text!r}")
+    return host.strip("[]"), int(port)
+
+
+def _place(name: str, names: list[str]) -> int:
+    name = as_setting(name)
+    return names.index(name) if name in names else len(names)  # a name we were not told: like no other
+
+
+def to_machine_list(doc: MachineListDoc, settings: Settings) -> MachineList:
+    machines = []
+    for line in doc.endpoints:
+        if not line.name:
+            raise MachineListError("an endpoint without a name")
+        if not 0 <= line.group or not line.since_ms >= 0.0:
+            raise MachineListError(f"{line.name}: a group or since_ms below zero")
+        host, port = parse_address(line.address)
+        entry = ServerEntry(
+            id=line.name.encode(),
+            size=line.weight,
+            cell=line.group,
+            started_at_ms=line.since_ms,  # the clock reads Unix time: nothing to convert, 0 stays 0
+            availability=_AVAILABILITY[line.status],
+            zone=_place(line.zone, settings.zones),
+            kind=_place(line.type, settings.kinds),
+        )
+        machines.append(Machine(entry, host, port))
+    return MachineList(doc.index, doc.snapshot, machines)
+
+
+def list_wire() -> ClientWire:
+    return ClientWire(LIST_LIMIT)
+
+
+def compose_call(wire: ClientWire, host: str, since: int | None = None, wait_ms: int = 0) -> bytes:
+    """A watch on what is newer than version `since`, or the whole list where that is None."""
+    target = "/v1/endpoints" if since is None else f"/v1/endpoints?since={since}&timeout_ms={wait_ms}"
+    return wire.compose(b"GET", target.encode(), [(b"Host", host.encode())])
+
+
+def read_list(reply: Reply, settings: Settings) -> MachineList:
+    if reply.status != 200:
+        raise MachineListError(f"discovery answered {reply.status}")
+    try:
+        return to_machine_list(_decoder.decode(reply.body), settings)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as fault:
+        raise MachineListError(str(fault)) from None
--- /dev/null
+++ b/alderspool/transport/nodes.py
@@ -0,0 +1,201 @@
+"""Connections to execute nodes: one claim each at a time, reused while they are surely fresh."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+
+from alderspool.protocol import claims
+from alderspool.protocol.http_client import BrokenReplyError, ClientWire
+from alderspool.routing.exchange import Exchange
+from alderspool.routing.messages import Claim
+from alderspool.transport.budget import DescriptorBudget
+from lynxlift.interface import ServerId, Settings, Status
+
+# A connection idle for this share of the node's limit is closed by us: the node may close it at any
+# time up to the limit, and a claim written into that moment would be lost without proof.
+IDLE_SHARE = 0.6
+SWEEP_S = 0.5
+READ_SIZE = 64 * 1024
+PROBE_S = 1.0
+
+
+class NodeConnection:
+    """One connection to an execute node, with the claim that it carries."""
+
+    __slots__ = ("claim", "idle_since", "node", "place", "reader", "wire", "writer")
+
+    def __init__(
+        self, node: ServerId, place: Place, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.node, self.place, self.reader, self.writer = node, place, reader, writer
+        self.wire: ClientWire = claims.claim_wire()
+        self.claim: Claim | None = None
+        self.idle_since = 0.0
+
+
+Place = tuple[str, int]
+
+
+class NodePool:
+    def __init__(self, exchange: Exchange, settings: Settings, budget: DescriptorBudget) -> None:
+        self._exchange, self._budget = exchange, budget
+        self._dial_s = settings.dial_timeout_ms / 1000.0
+        self._idle_s = settings.conn_idle_ms * IDLE_SHARE / 1000.0
+        self._loop = asyncio.get_running_loop()
+        self._idle: dict[ServerId, deque[NodeConnection]] = {}  # the longest idle first
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.spare_descriptor: Callable[[], bool] = self.drop_longest_idle
+        self._loop.call_later(SWEEP_S, self._sweep)
+
+    # ---- what the exchange asks for ------------------------------------------------------------
+
+    def dispatch(self, claim: Claim) -> None:
+        conn = self._take_idle(claim)
+        if conn is not None:
+            self._write(conn, claim)
+        else:
+            claim.carrier = self._spawn(self._dial(claim))
+
+    def withdraw(self, claim: Claim) -> None:
+        carrier, claim.carrier = claim.carrier, None
+        if isinstance(carrier, NodeConnection):
+            carrier.claim = None
+            carrier.writer.transport.abort()
+        elif carrier is not None:
+            carrier.cancel()
+
+    def close_idle(self, node: ServerId) -> None:
+        for conn in self._idle.pop(node, ()):
+            conn.writer.transport.abort()
+
+    def probe(self, node: ServerId, host: str, port: int) -> None:
+        self._spawn(self._probe(node, host, port))
+
+    # ---- connections ---------------------------------------------------------------------------
+
+    def _spawn(self, work) -> asyncio.Task[None]:
+        task = self._loop.create_task(work)
+        self._tasks.add(task)  # the loop itself keeps only weak references
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    def _take_idle(self, claim: Claim) -> NodeConnection | None:
+        """The freshest idle connection to where the node is now."""
+        line = self._idle.get(claim.node)
+        while line:
+            conn = line.pop()
+            fresh = self._loop.time() - conn.idle_since < self._idle_s
+            at_end = conn.reader.at_eof() or conn.writer.transport.is_closing()
+            if fresh and not at_end and conn.place == (claim.host, claim.port):
+                return conn
+            conn.writer.transport.abort()
+        return None
+
+    async def _dial(self, claim: Claim) -> None:
+        if self._budget.tight and not self.spare_descriptor() and self._budget.spent:
+            self._exchange.claim_ended(claim, Status.CONNECT_FAILED)  # no socket to dial with
+            return
+        self._budget.take()
+        try:
+            try:
+                async with asyncio.timeout(self._dial_s):
+                    reader, writer = await asyncio.open_connection(claim.host, claim.port, limit=READ_SIZE)
+            except (OSError, TimeoutError):
+                self._exchange.claim_ended(claim, Status.CONNECT_FAILED)
+                return
+            conn = NodeConnection(claim.node, (claim.host, claim.port), reader, writer)
+            try:
+                if self._exchange.may_write(claim):
+                    self._write(conn, claim)
+                else:  # over, or its node began to drain while we dialled
+                    self._exchange.claim_ended(claim, Status.NEVER_SENT)
+                    return
+                await self._read(conn)
+            finally:
+                writer.transport.abort()
+        finally:
+            self._budget.give_back()
+
+    def _write(self, conn: NodeConnection, claim: Claim) -> None:
+        data = claims.compose_claim(conn.wire, claim.payload, self._exchange.time_left_ms(claim))
+        claim.carrier, conn.claim = conn, claim
+        claim.written = True  # from here on it may run, whatever becomes of the connection
+        conn.writer.write(data)
+
+    async def _read(self, conn: NodeConnection) -> None:
+        """Reads until the connection ends; also while it idles, so that its end is noticed at once."""
+        while True:
+            try:
+                data = await conn.reader.read(READ_SIZE)
+            except OSError:
+                data = b""
+            claim = conn.claim
+            if claim is None:  # it ended while idle, was withdrawn, or the node says what nobody asked
+                self._forget(conn)
+                return
+            try:
+                reply = conn.wire.receive(data)
+            except BrokenReplyError:
+                self._end(conn, claim, Status.RESET)
+                return
+            if reply is None:
+                continue
+            status, answer = claims.read_outcome(reply)
+            reusable = conn.wire.reusable and bool(data)
+            self._end(conn, claim, status, answer, keep=reusable)
+            if not reusable:
+                return
+
+    def _end(self, conn, claim: Claim, status: Status, answer=None, keep: bool = False) -> None:
+        conn.claim = claim.carrier = None
+        if keep:
+            conn.idle_since = self._loop.time()
+            self._idle.setdefault(conn.node, deque()).append(conn)
+        self._exchange.claim_ended(claim, status, answer)
+
+    def _forget(self, conn: NodeConnection) -> None:
+        line = self._idle.get(conn.node)
+        if line and conn in line:
+            line.remove(conn)
+
+    def _sweep(self) -> None:
+        """Closes what has idled long, before the node does."""
+        self._loop.call_later(SWEEP_S, self._sweep)
+        oldest = self._loop.time() - self._idle_s
+        for node, line in list(self._idle.items()):
+            while line and line[0].idle_since <= oldest:
+                line.popleft().writer.transport.abort()
+            if not line:
+                del self._idle[node]
+
+    def drop_longest_idle(self) -> bool:
+        """Gives a descriptor back, where one is to spare."""
+        lines = [line for line in self._idle.values() if line]
+        if not lines:
+            return False
+        min(lines, key=lambda line: line[0].idle_since).popleft().writer.transport.abort()
+        return True
+
+    async def _probe(self, node: ServerId, host: str, port: int) -> None:
+        started, status = self._loop.time(), Status.CONNECT_FAILED
+        self._budget.take()
+        try:
+            async with asyncio.timeout(PROBE_S):
+                reader, writer = await asyncio.open_connection(host, port, limit=READ_SIZE)
+                try:
+                    status, wire = Status.TIMEOUT, claims.claim_wire()
+                    writer.write(claims.compose_probe(wire, host))
+                    while (reply := wire.receive(await reader.read(READ_SIZE))) is None:
+                        pass
+                    status = claims.read_probe(reply)
+                finally:
+                    writer.transport.abort()
+        except TimeoutError:
+            pass
+        except (OSError, BrokenReplyError):
+            status = Status.RESET if status == Status.TIMEOUT else status
+        finally:
+            self._budget.give_back()
+            self._exchange.probe_ended(node, status, (self._loop.time() - started) * 1000.0)
--- a/lynxlift/interface.py
+++ b/lynxlift/interface.py
@@ -123,6 +123,12 @@
     retry_ratio: float = 0.0  # and so many for each request taken
     nines_part: float = 0.0  # weight of the nines in the result
     nines_wanted: float = 0.0  # nines that earn all of it
+    # What only a proxy on sockets needs of the same settings.
+    zones: list[str] = field(default_factory=list)
+    kinds: list[str] = field(default_factory=list)
+    dial_timeout_ms: float = 1000.0
+    conn_idle_ms: float = 10000.0  # a server closes a connection idle for this long
+    max_open: int = 1 << 16  # requests that an instance may hold
 
     @classmethod
     def from_pairs(cls, pairs: Mapping[str, str]) -> Settings:
@@ -198,6 +204,11 @@
             retry_ratio=get.number(budget[2], 0.0),
             nines_part=get.number("result_mix.log_loss_part", 0.0),
             nines_wanted=get.number("result_mix.nines_wanted", 0.0),
+            zones=[name for name in get.text("zones", "").split(",") if name],
+            kinds=[name for name in get.text("shapes", "").split(",") if name],
+            dial_timeout_ms=get.number("bounds.dial_timeout_ms", 1000.0, above=0.0),
+            conn_idle_ms=get.number("bounds.conn_idle_ms", 10000.0, above=0.0),
+            max_open=get.count("bounds.max_open", 1 << 16, least=1),
         )
 
 
