Test each rule on real sockets, and the parsers by tables of cases

The tables found two gaps: h11 bounds a head only while it comes in pieces, so a whole 70 KB head went on to a node (now 431), and a body's stated length was not looked at before it had come (now 413 at once). Also guarded: a submitter that never reads its answers, and a log line for each connection in a flood.

--- a/alderspool/protocol/submitters.py
+++ b/alderspool/protocol/submitters.py
@@ -14,6 +14,7 @@
 from lynxlift.interface import Effect, Settings
 
 LONGEST_WAIT_MS = 3_600_000
+HEAD_LIMIT = 16 * 1024
 _REASONS = {
     200: b"OK",
     400: b"Bad Request",
@@ -172,6 +173,11 @@
                 kind = type(event)
                 if kind is h11.Request:
                     self._head, self._body, self._size = event, [], 0
+                    if _stated_length(event) > BODY_LIMIT:  # no need to wait for all of it
+                        return self._break_off(413, "body over 64 KiB")
+                    if sum(len(n) + len(v) for n, v in event.headers) + len(event.target) > HEAD_LIMIT:
+                        # h11 bounds only a head that comes in pieces; a large one would go on to a node.
+                        return self._break_off(431, "head over 16 KiB")
                     if self._h11.they_are_waiting_for_100_continue:
                         return CONTINUE
                 elif kind is h11.Data:
@@ -222,6 +228,10 @@
         return out, True
 
 
+def _stated_length(head: h11.Request) -> int:
+    return int(next((value for name, value in head.headers if name == b"content-length"), 0))
+
+
 def as_http(answer: FinalAnswer) -> tuple[int, bytes, list[tuple[bytes, bytes]]]:
     """Status, body and headers of a final answer."""
     if isinstance(answer, Served):
--- a/alderspool/transport/listener.py
+++ b/alderspool/transport/listener.py
@@ -77,7 +77,7 @@
         self.loop = asyncio.get_running_loop()
         self._links: dict[SubmitterLink, None] = {}
         self._server: asyncio.Server | None = None
-        self.draining = False
+        self.draining = self._warned = False
         pool.spare_descriptor = self._spare_descriptor
 
     async def open(self, host: str, port: int) -> None:
@@ -114,7 +114,9 @@
         self._budget.take()
         if self._budget.tight and not self._spare_descriptor() and self._budget.spent:
             # Out of descriptors: with one more, accepting itself would fail for everybody.
-            logger.warning("descriptor budget spent: a submitter's connection is closed unread")
+            if not self._warned:  # once: in a flood, one line each would fill the log
+                self._warned = True
+                logger.warning("descriptor budget spent: submitters' connections are closed unread")
             writer.transport.abort()
             self._budget.give_back()
             return
@@ -158,6 +160,7 @@
                 return
             else:
                 self._take(link, step)
+                await link.writer.drain()  # who does not read its answers must not fill the memory
 
     def _take(self, link: SubmitterLink, raw: RawRequest) -> None:
         request = self._reader.read(raw)
@@ -201,4 +204,4 @@
         for link in list(self._links):
             if not link.busy and now - link.since > (IDLE_S if link.wire.idle else PARTIAL_S):
                 link.over = True
-                link.writer.close()
+                link.writer.transport.abort()  # also where an answer was never read
--- /dev/null
+++ b/tests/test_exchange.py
@@ -0,0 +1,151 @@
+"""The exchange with scripted decisions and no sockets: order, deadlines, and exactly one answer."""
+
+from __future__ import annotations
+
+import asyncio
+
+from rig import SETTINGS, real
+
+from alderspool.program.config import flatten
+from alderspool.routing.clock import Clock
+from alderspool.routing.exchange import Exchange
+from alderspool.routing.messages import Claim, Failed, Machine, MachineList, RequeueNotice, Served, Submission
+from lynxlift import interface as api
+
+S = api.Status
+
+
+class Script:
+    """In the Balancer's place: `actions` maps an event's type to what it answers with."""
+
+    def __init__(self, actions: dict) -> None:
+        self.actions, self.events, self.inside = actions, [], False
+
+    def start(self, now: float) -> list:
+        return []
+
+    def handle(self, now: float, event: object) -> list:
+        assert not self.inside
+        self.inside = True
+        self.events.append(event)
+        given = self.actions.get(type(event), [])
+        given = given(event) if callable(given) else given
+        self.inside = False
+        return given
+
+
+class Nodes:
+    def __init__(self) -> None:
+        self.sent: list[Claim] = []
+        self.withdrawn: list[Claim] = []
+        self.closed: list[bytes] = []
+
+    def dispatch(self, claim: Claim) -> None:
+        self.sent.append(claim)
+        claim.written = True
+
+    def withdraw(self, claim: Claim) -> None:
+        self.withdrawn.append(claim)
+
+    def close_idle(self, node: bytes) -> None:
+        self.closed.append(node)
+
+
+def machines(*names: bytes, state: int = api.Availability.READY, revision: int = 1) -> MachineList:
+    return MachineList(
+        revision, True, [Machine(api.ServerEntry(n, availability=state), "127.0.0.1", 1) for n in names]
+    )
+
+
+def bench(actions: dict, **settings: object) -> tuple[Exchange, Script, Nodes, list]:
+    exchange = Exchange(api.Settings.from_pairs(flatten(SETTINGS) | settings), 1, Clock())
+    exchange._balancer = script = Script(actions)
+    nodes, answers = Nodes(), []
+    exchange.start(nodes, None, machines(b"s1", b"s2"))
+    return exchange, script, nodes, answers
+
+
+def submission(wait: float = 20000.0) -> Submission:
+    return Submission(1, 0, 0, wait, "payload")
+
+
+SEND = {api.Request: lambda e: [api.Send(e.id, b"s1")]}
+
+
+@real
+async def test_the_first_served_claim_answers_and_later_ends_change_nothing() -> None:
+    copies = {api.Request: lambda e: [api.Send(e.id, b"s1"), api.Send(e.id, b"s2")]}
+    exchange, script, nodes, answers = bench(copies)
+    exchange.submit(submission(), answers.append)
+    one, two = nodes.sent
+    exchange.claim_ended(two, S.OK, "answer")
+    exchange.claim_ended(two, S.RESET)
+    exchange.claim_ended(one, S.OK, "late")
+    assert answers == [Served("answer")]
+    assert [(e.attempt, e.status, e.finished) for e in script.events[2:]] == [
+        (1, S.OK, True),
+        (0, S.OK, True),
+    ]
+    assert exchange.owed == 0
+
+
+@real
+async def test_a_silent_claim_ends_at_the_deadline_and_the_module_says_how() -> None:
+    exchange, script, nodes, answers = bench(
+        SEND | {api.Outcome: lambda e: [api.Fail(e.id), api.Refuse(e.id)]}
+    )
+    exchange.submit(submission(30.0), answers.append)
+    while not answers:
+        await asyncio.sleep(0.005)
+    assert answers == [Failed(timed_out=True)] and nodes.withdrawn == nodes.sent
+    assert (script.events[-1].status, script.events[-1].finished) == (S.TIMEOUT, False)
+
+
+@real
+async def test_a_time_out_of_its_own_ends_a_claim_unwritten_ones_as_never_sent() -> None:
+    exchange, script, nodes, answers = bench({api.Request: lambda e: [api.Send(e.id, b"s1", 20.0)]})
+    nodes.dispatch = nodes.sent.append  # still dialling
+    exchange.submit(submission(), answers.append)
+    while len(script.events) < 3:
+        await asyncio.sleep(0.005)
+    assert (script.events[-1].status, script.events[-1].finished) == (S.NEVER_SENT, False)
+
+
+@real
+async def test_what_the_module_leaves_unanswered_or_fails_on_is_answered_all_the_same() -> None:
+    for actions in ({}, {api.Request: lambda e: 1 / 0}):
+        exchange, _, _, answers = bench(actions)
+        exchange.submit(submission(20.0), answers.append)
+        while not answers:
+            await asyncio.sleep(0.005)
+        assert answers == [Failed(timed_out=True)] and exchange.owed == 0
+
+
+@real
+async def test_nothing_is_sent_to_a_node_that_drains_nor_written_once_a_dial_has_crossed_the_drain() -> None:
+    exchange, script, nodes, answers = bench(SEND)
+    exchange.submit(submission(), answers.append)
+    (claim,) = nodes.sent
+    assert exchange.may_write(claim)
+    exchange.list_told(machines(b"s1", state=api.Availability.DRAINING))
+    assert not exchange.may_write(claim) and set(nodes.closed) == {b"s1", b"s2"}
+    exchange.submit(submission(), answers.append)
+    assert len(nodes.sent) == 1
+    assert (script.events[-1].status, script.events[-1].finished) == (S.NEVER_SENT, False)
+
+
+@real
+async def test_a_submitter_that_went_away_is_owed_nothing_and_its_claims_are_withdrawn() -> None:
+    exchange, script, nodes, answers = bench(SEND | {api.ClientGone: lambda e: [api.Cancel(e.id, 0)]})
+    exchange.withdraw(exchange.submit(submission(), answers.append))
+    assert nodes.withdrawn == nodes.sent and answers == [] and exchange.owed == 0
+    assert (script.events[-1].status, script.events[-1].finished) == (S.CANCELLED, True)
+
+
+@real
+async def test_more_than_an_instance_may_hold_is_refused_unseen() -> None:
+    exchange, script, _, answers = bench(SEND, **{"bounds.max_open": "1"})
+    exchange.submit(submission(), answers.append)
+    seen = len(script.events)
+    exchange.submit(submission(), answers.append)
+    assert answers == [RequeueNotice()] and len(script.events) == seen
--- /dev/null
+++ b/tests/test_proxy.py
@@ -0,0 +1,229 @@
+"""One test with real sockets for each rule and each promise of the protocol."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+
+import pytest
+from rig import NOT_RUN, OK, Party, Rig, real, request
+
+ERROR = b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n"
+BARE_503 = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+
+
+async def dead() -> Party:
+    """A node whose connections are refused."""
+    party = Party("dead")
+    await party.start()
+    party.server.close()
+    await party.server.wait_closed()
+    party.start = lambda: asyncio.sleep(0)
+    return party
+
+
+# ---- rule 1: one final answer, in time ------------------------------------------------------------
+
+
+@real
+@pytest.mark.parametrize(("cls", "statuses"), [("pay", (502, 504)), ("put", (502, 504)), ("look", (503,))])
+async def test_a_silent_node_leaves_nothing_unanswered(cls: str, statuses: tuple[int, ...]) -> None:
+    async with Rig(Party("s1", None)) as rig:
+        started = time.monotonic()
+        status, _, _ = await rig.ask(cls, wait=600)
+        assert status in statuses  # 503 would promise that it has not run
+        assert time.monotonic() - started >= 0.55
+        assert len(rig.nodes[0].got) == 1
+
+
+@real
+async def test_with_no_node_the_refusal_comes_at_once_not_at_the_deadline() -> None:
+    """Also without Retry-After: the settings do not let clients be given one."""
+    async with Rig() as rig:
+        started = time.monotonic()
+        status, headers, _ = await rig.ask("look", wait=20000)
+        assert status == 503 and "retry-after" not in headers
+        assert time.monotonic() - started < 10.0
+
+
+@real
+async def test_a_refusal_says_when_to_come_back_where_the_settings_allow_it() -> None:
+    bounds = {"bounds": {"retry_after": True, "max_retry_after_ms": 250.0}}
+    async with Rig(settings=bounds) as rig:
+        status, headers, _ = await rig.ask("pay", wait=20000)
+        assert status == 503 and headers["retry-after"] == "0.250"
+
+
+@real
+async def test_a_submitter_that_goes_away_ends_its_claim() -> None:
+    async with Rig(Party("s1", None), settings={"bounds": {"cancel": True, "may_duplicate": True}}) as rig:
+        _, writer = await asyncio.open_connection("127.0.0.1", rig.port)
+        writer.write(request("pay", 20000))
+        while not rig.nodes[0].got:
+            await asyncio.sleep(0.005)
+        writer.close()
+        await asyncio.wait_for(rig.nodes[0].ended.wait(), 10.0)
+
+
+@real
+async def test_sigterm_finishes_what_was_taken_and_exits_in_peace() -> None:
+    release = asyncio.Event()
+
+    async def late(party: Party) -> bytes:
+        await release.wait()
+        return OK
+
+    async with Rig(Party("s1", late)) as rig:
+        first = asyncio.create_task(rig.ask("pay"))
+        while not rig.nodes[0].got:
+            await asyncio.sleep(0.005)
+        rig.proxy.send_signal(signal.SIGTERM)
+        while (await rig.raw(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"))[0] == 200:
+            pass
+        second = asyncio.create_task(rig.ask("pay"))  # new ones are taken still
+        while len(rig.nodes[0].got) < 2:
+            await asyncio.sleep(0.005)
+        release.set()
+        for answer in (await first, await second):
+            assert (answer[0], answer[1]["connection"], answer[2]) == (200, "close", b"done")
+        assert await rig.proxy.wait() == 0
+
+
+# ---- rule 2: no effect twice, and no refusal of what may have run ---------------------------------------
+
+
+@real
+@pytest.mark.parametrize(
+    ("reply", "statuses", "claims"),
+    [
+        (OK, (200,), 1),
+        (b"", (502,), 1),  # ended after the last byte: it may have run
+        (ERROR, (502,), 1),
+        (BARE_503, (502,), 1),  # without the node's word nothing is proved
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\nConnection: close\r\n\r\nhalf", (502,), 1),
+        (b"\x00\xffrubbish, not HTTP\r\n\r\nConnection: close", (502,), 1),
+        (b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nno length", (502,), 1),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\nConnection: close\r\n\r\n" + b"x" * 70000, (502,), 1),
+        (NOT_RUN, (503,), 2),  # it never ran: another node, then a refusal
+    ],
+)
+async def test_what_must_not_run_twice(reply: bytes, statuses: tuple[int, ...], claims: int) -> None:
+    async with Rig(Party("s1", reply), Party("s2", reply)) as rig:
+        status, _, body = await rig.ask("pay", wait=900)
+        assert status in statuses
+        assert body == b"done" or status != 200
+        sent = sum(len(node.got) for node in rig.nodes)
+        assert sent == 1 if claims == 1 else sent >= 2
+
+
+@real
+async def test_a_refused_connection_proves_that_it_never_ran() -> None:
+    async with Rig(await dead(), Party("s2"), Party("s3")) as rig:
+        assert [(await rig.ask("pay"))[0] for _ in range(6)] == [200] * 6
+
+
+@real
+async def test_a_keyed_request_that_may_have_run_stays_in_its_group() -> None:
+    """`a` ends connections unanswered; only its group may be tried again."""
+    nodes = [Party("a", b"", group=1), Party("b", group=1), Party("c", b"", group=2), Party("d", group=2)]
+    async with Rig(*nodes) as rig:
+        for _ in range(8):
+            mine = f"k{_}"
+            await rig.ask("put", Idempotency_Key=mine)
+            used = {n.line["group"] for n in nodes for got in n.got if got[1]["idempotency-key"] == mine}
+            assert len(used) == 1
+        assert nodes[1].got or nodes[3].got
+
+
+# ---- rule 3: drains are kept ------------------------------------------------------------------------------
+
+
+@real
+@pytest.mark.parametrize("state", ["draining", "gone", "missing"])
+async def test_a_node_that_drains_gets_nothing_more(state: str) -> None:
+    async with Rig(Party("s1"), Party("s2")) as rig:
+        await asyncio.gather(*(rig.ask() for _ in range(8)))
+        one, two = rig.nodes
+        assert one.got and two.got
+        await rig.asked(1)
+        if state == "missing":
+            rig.tell(two.entry(), snapshot=True)
+        else:
+            rig.tell(one.entry(status=state))
+        await rig.asked(2)  # it asks for more, so it has read what it was told
+        before = len(one.got)
+        assert [(await rig.ask())[0] for _ in range(6)] == [200] * 6
+        assert len(one.got) == before
+
+
+@real
+async def test_the_watch_goes_on_at_once_and_garbage_leaves_the_old_list() -> None:
+    async with Rig(Party("s1")) as rig:
+        await rig.asked(1)
+        rig.tell(index=7)
+        told = time.monotonic()
+        await rig.asked(2)
+        assert rig.calls[1] - told < 0.2
+        assert b"since=7&" in rig.discovery.got[1][0]
+        rig.tell_raw(b'HTTP/1.1 200 OK\r\nContent-Length: 15\r\n\r\n{"index":"what"')
+        await rig.asked(3)  # after the module's own wait
+        assert b"since=7&" in rig.discovery.got[2][0]
+        assert (await rig.ask())[0] == 200
+
+
+# ---- rule 4: a cold node is not pushed over ---------------------------------------------------------------
+
+
+@real
+async def test_a_node_that_has_just_started_gets_less() -> None:
+    cold = Party("s1", since_ms=time.time() * 1000.0)
+    async with Rig(cold, Party("s2")) as rig:
+        assert [(await rig.ask())[0] for _ in range(40)] == [200] * 40
+        assert len(cold.got) < len(rig.nodes[1].got) / 2
+
+
+# ---- the protocol ------------------------------------------------------------------------------------
+
+
+@real
+async def test_a_request_passes_through_unchanged() -> None:
+    async with Rig(Party("s1")) as rig:
+        sent = request("put", 5000, b"\x00body", X_Request_Id="r-77", Connection="keep-alive")
+        status, headers, body = await rig.raw(sent)
+        assert (status, body) == (200, b"done") and "connection" not in headers
+        line, got, passed = rig.nodes[0].got[0]
+        assert (line, passed) == (b"POST /put/7f3a?x=1 HTTP/1.1", b"\x00body")
+        assert (got["x-request-id"], got["idempotency-key"]) == ("r-77", "k1")
+        assert 0 < int(got["x-deadline-ms"]) <= 5000 and "connection" not in got
+
+
+@real
+async def test_connections_are_reused_on_both_sides() -> None:
+    async with Rig(Party("s1")) as rig:
+        reader, writer = await asyncio.open_connection("127.0.0.1", rig.port)
+        for _ in range(3):
+            writer.write(request())
+            assert (await reader.readuntil(b"done")).startswith(b"HTTP/1.1 200")
+        assert rig.nodes[0].opened == 1
+
+
+@real
+async def test_a_node_that_closes_an_idle_connection_costs_no_request() -> None:
+    async with Rig(
+        Party("s1", OK[:-4].replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n") + b"done")
+    ) as rig:
+        assert [(await rig.ask("pay"))[0] for _ in range(4)] == [200] * 4
+        assert rig.nodes[0].opened == 4
+
+
+@real
+async def test_bad_input_is_answered_and_reaches_nobody() -> None:
+    async with Rig(Party("s1")) as rig:
+        assert (await rig.raw(b"not HTTP at all\r\n\r\n"))[0] == 400
+        assert (await rig.raw(b"GET /elsewhere HTTP/1.1\r\nHost: x\r\n\r\n"))[0] == 404
+        assert (await rig.raw(request("pay").replace(b"POST", b"GET")))[0] == 405
+        assert (await rig.raw(request("pay", body=b"x" * 70000)))[0] == 413
+        assert (await rig.ask(X_Tenant="nobody"))[0] == 400
+        assert rig.nodes[0].got == []
+        assert (await rig.ask())[0] == 200
--- /dev/null
+++ b/tests/test_transport.py
@@ -0,0 +1,32 @@
+"""The socket parts that the whole program cannot be brought to on demand."""
+
+from __future__ import annotations
+
+import asyncio
+
+from rig import OK, Party, Rig, real, request
+
+
+@real
+async def test_idle_submitters_make_room_before_descriptors_run_out() -> None:
+    """The rig allows 256 sockets; more submitters than that come, and each is served."""
+    async with Rig(Party("s1")) as rig:
+        kept = []
+        for _ in range(300):
+            reader, writer = await asyncio.open_connection("127.0.0.1", rig.port)
+            kept.append(writer)
+            writer.write(request())
+            assert (await reader.readuntil(b"done")).startswith(b"HTTP/1.1 200")
+        for writer in kept:
+            writer.close()
+
+
+@real
+async def test_a_second_request_sent_early_is_answered_second() -> None:
+    async with Rig(Party("s1", OK)) as rig:
+        reader, writer = await asyncio.open_connection("127.0.0.1", rig.port)
+        writer.write(request() + request("pay", body=b"b"))
+        for _ in range(2):
+            assert (await reader.readuntil(b"done")).startswith(b"HTTP/1.1 200")
+        writer.close()
+        assert [got[0].split()[0] for got in rig.nodes[0].got] == [b"GET", b"POST"]
