--- a/alderspool/program/app.py
+++ b/alderspool/program/app.py
@@ -38,7 +38,7 @@
     budget = DescriptorBudget(config.limits.sockets)
     pool = NodePool(exchange, config.settings, budget)
     discovery = DiscoveryClient(*config.discovery, exchange, config.settings, config.known.revision)
-    listener = Listener(exchange, Reader(config.settings), pool, budget)
+    listener = Listener(exchange, Reader(config.settings), budget)
     exchange.start(pool, discovery, config.known)
     try:
         await listener.open(*config.listen)
--- a/alderspool/routing/exchange.py
+++ b/alderspool/routing/exchange.py
@@ -150,8 +150,9 @@
     def list_told(self, told: MachineList) -> None:
         self._take_list(told, api.ListMode.FULL if told.whole else api.ListMode.DELTA)
 
-    def list_failed(self) -> None:
+    def list_failed(self, why: str) -> None:
         """A call to discovery failed: the old list holds."""
+        self._log("warning", "discovery: {}", why)
         self._feed(api.ServerList(api.ListMode.FAILED, []))
 
     def _take_list(self, told: MachineList, mode: api.ListMode) -> None:
--- a/alderspool/transport/budget.py
+++ b/alderspool/transport/budget.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 SPARE = 48  # listener, event loop, discovery, standard streams, and what is just being closed
 HARD_SPARE = 16  # so few left: a connection more could make accepting fail
 
@@ -13,6 +15,7 @@
         self._soft = max(limit - SPARE, 8)
         self._hard = max(limit - HARD_SPARE, 12)
         self.held = 0
+        self._spares: list[Callable[[], bool]] = []
 
     @property
     def tight(self) -> bool:
@@ -22,6 +25,14 @@
     def spent(self) -> bool:
         return self.held >= self._hard
 
+    def on_tight(self, let_go: Callable[[], bool]) -> None:
+        """`let_go` closes something idle and says whether there was any; the first told is asked first."""
+        self._spares.append(let_go)
+
+    def make_room(self) -> bool:
+        """Whether one more socket may be held, after letting go of an idle one where that is needed."""
+        return not self.tight or any(let_go() for let_go in self._spares) or not self.spent
+
     def take(self) -> None:
         self.held += 1
 
--- a/alderspool/transport/discovery.py
+++ b/alderspool/transport/discovery.py
@@ -8,17 +8,24 @@
 from alderspool.protocol.http_client import BrokenReplyError, Reply
 from alderspool.protocol.machine_list import MachineListError
 from alderspool.routing.exchange import Exchange
+from alderspool.transport.streams import READ_SIZE, read_reply
 from lynxlift.interface import Settings
 
 # A watch waits this long at most. What discovery has to tell counts as told 2 s after the wait ends,
 # so a call must be given up before that, and asked again.
 LONGEST_WAIT_MS, LATE_S = 10_000.0, 1.5
+DIAL_S = 1.0  # a discovery that is cut off must not hold a call for the whole wait
 FETCH_S = 5.0
-READ_SIZE = 64 * 1024
+EMPTY_S = 0.1  # a watch goes on if the next call comes within 0.2 s
+FAULTS = (OSError, TimeoutError, BrokenReplyError, MachineListError)
+
+
+def _text(fault: Exception) -> str:
+    return str(fault)[:200] or type(fault).__name__
 
 
 class DiscoveryClient:
-    """One connection, one call at a time."""
+    """One kept connection for the watch, one call at a time."""
 
     def __init__(self, host: str, port: int, exchange: Exchange, settings: Settings, revision: int) -> None:
         self._place, self._exchange, self._settings = (host, port), exchange, settings
@@ -44,17 +51,20 @@
     async def _watch(self) -> None:
         """The next call follows the last answer at once; a failed one ends the watch, and the
         module says when to ask again."""
-        limit = self._wait_ms / 1000.0 + LATE_S
+        loop, limit = asyncio.get_running_loop(), self._wait_ms / 1000.0 + LATE_S
         try:
             while True:
+                asked = loop.time()
                 async with asyncio.timeout(limit):
                     reply = await self._call()
                 told = machine_list.read_list(reply, self._settings)
                 self._revision = told.revision
                 self._exchange.list_told(told)
-        except (OSError, TimeoutError, BrokenReplyError, MachineListError):
+                if not told.machines and loop.time() - asked < EMPTY_S:
+                    await asyncio.sleep(EMPTY_S)  # a discovery that does not wait must not be stormed
+        except FAULTS as fault:
             self._watching = None  # before the module is told: it may ask again at once
-            self._exchange.list_failed()
+            self._exchange.list_failed(_text(fault))
         finally:
             self._drop()
 
@@ -64,22 +74,22 @@
             kept = self._writer is not None
             if not kept:
                 self._wire = machine_list.list_wire()
-                self._reader, self._writer = await asyncio.open_connection(*self._place, limit=READ_SIZE)
+                self._reader, self._writer = await self._dial()
             try:
                 call = machine_list.compose_call(self._wire, self._place[0], self._revision, self._wait_ms)
-                return await self._exchange_bytes(call)
+                self._writer.write(call)
+                reply = await read_reply(self._reader, self._wire)
+                if not self._wire.reusable:
+                    self._drop()
+                return reply
             except (OSError, BrokenReplyError):
                 self._drop()
                 if not kept:
                     raise
 
-    async def _exchange_bytes(self, call: bytes) -> Reply:
-        self._writer.write(call)
-        while (reply := self._wire.receive(await self._reader.read(READ_SIZE))) is None:
-            pass
-        if not self._wire.reusable:
-            self._drop()
-        return reply
+    async def _dial(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        async with asyncio.timeout(DIAL_S):
+            return await asyncio.open_connection(*self._place, limit=READ_SIZE)
 
     def _drop(self) -> None:
         if self._writer is not None:
@@ -89,16 +99,16 @@
     async def _fetch(self) -> None:
         try:
             async with asyncio.timeout(FETCH_S):
-                reader, writer = await asyncio.open_connection(*self._place, limit=READ_SIZE)
+                reader, writer = await self._dial()
                 try:
                     wire = machine_list.list_wire()
                     writer.write(machine_list.compose_call(wire, self._place[0]))
-                    while (reply := wire.receive(await reader.read(READ_SIZE))) is None:
-                        pass
+                    reply = await read_reply(reader, wire)
                 finally:
                     writer.transport.abort()
             told = machine_list.read_list(reply, self._settings)
-        except (OSError, TimeoutError, BrokenReplyError, MachineListError):
-            self._exchange.list_failed()
+        except FAULTS as fault:
+            self._exchange.list_failed(_text(fault))
         else:
-            self._exchange.list_told(told)
+            if told.revision >= self._revision:  # else the watch has told of later changes already
+                self._exchange.list_told(told)
--- a/alderspool/transport/listener.py
+++ b/alderspool/transport/listener.py
@@ -23,9 +23,8 @@
 from alderspool.routing.exchange import Exchange
 from alderspool.routing.messages import FinalAnswer
 from alderspool.transport.budget import DescriptorBudget
-from alderspool.transport.nodes import NodePool
+from alderspool.transport.streams import READ_SIZE
 
-READ_SIZE = 64 * 1024
 BACKLOG = 1024
 IDLE_S = 75.0  # a submitter's connection without a request is closed after this long
 PARTIAL_S = 10.0  # and one with half a request after this long: a slow sender must not hold a socket
@@ -66,19 +65,26 @@
                 self.writer.close()
         self.answered.set()
 
+    def close_if_idle(self) -> None:
+        """Called by way of call_soon: a request that has just been read is found by its reader first,
+        and a connection that holds an unanswered request is never ended."""
+        if self.idle:
+            self.over = True
+            self.writer.close()
+
     @property
     def idle(self) -> bool:
         return not self.busy and not self.over and self.wire.idle
 
 
 class Listener:
-    def __init__(self, exchange: Exchange, reader: Reader, pool: NodePool, budget: DescriptorBudget) -> None:
-        self._exchange, self._reader, self._pool, self._budget = exchange, reader, pool, budget
+    def __init__(self, exchange: Exchange, reader: Reader, budget: DescriptorBudget) -> None:
+        self._exchange, self._reader, self._budget = exchange, reader, budget
         self.loop = asyncio.get_running_loop()
         self._links: dict[SubmitterLink, None] = {}
         self._server: asyncio.Server | None = None
         self.draining = self._warned = False
-        pool.spare_descriptor = self._spare_descriptor
+        budget.on_tight(self._drop_longest_idle)
 
     async def open(self, host: str, port: int) -> None:
         self._server = await asyncio.start_server(
@@ -100,9 +106,8 @@
         """Closes the door, and what is idle behind it. What holds a request stays until its answer."""
         if self._server is not None:
             self._server.close()
-        for link in [link for link in self._links if link.idle]:
-            link.over = True
-            link.writer.close()
+        for link in self._links:
+            self.loop.call_soon(link.close_if_idle)
 
     @property
     def held(self) -> int:
@@ -111,15 +116,14 @@
     # ---- one connection ------------------------------------------------------------------------
 
     async def _attend(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self._budget.take()
-        if self._budget.tight and not self._spare_descriptor() and self._budget.spent:
+        if not self._budget.make_room():
             # Out of descriptors: with one more, accepting itself would fail for everybody.
             if not self._warned:  # once: in a flood, one line each would fill the log
                 self._warned = True
                 logger.warning("descriptor budget spent: submitters' connections are closed unread")
             writer.transport.abort()
-            self._budget.give_back()
             return
+        self._budget.take()
         link = SubmitterLink(self, writer)
         self._links[link] = None
         try:
@@ -186,22 +190,22 @@
 
     # ---- keeping the number of sockets down ------------------------------------------------------
 
-    def _spare_descriptor(self) -> bool:
-        """Lets go of something idle: a node's connection first, else the longest idle submitter's."""
-        if self._pool.drop_longest_idle():
-            return True
+    def _drop_longest_idle(self) -> bool:
+        """A connection may be closed between requests: its submitter asks again on a new one."""
         idle = [link for link in self._links if link.idle]
         if not idle:
             return False
-        link = min(idle, key=lambda link: link.since)
-        link.over = True
-        link.writer.close()
+        self.loop.call_soon(min(idle, key=lambda link: link.since).close_if_idle)
         return True
 
     def _sweep(self) -> None:
         self.loop.call_later(SWEEP_S, self._sweep)
         now = self.loop.time()
         for link in list(self._links):
-            if not link.busy and now - link.since > (IDLE_S if link.wire.idle else PARTIAL_S):
-                link.over = True
-                link.writer.transport.abort()  # also where an answer was never read
+            limit = IDLE_S if link.wire.idle else PARTIAL_S
+            if not link.busy and now - link.since > limit:
+                if link.idle and not link.writer.transport.get_write_buffer_size():
+                    self.loop.call_soon(link.close_if_idle)
+                else:
+                    link.over = True
+                    link.writer.transport.abort()  # half a request, or an answer that is never read
--- a/alderspool/transport/nodes.py
+++ b/alderspool/transport/nodes.py
@@ -4,21 +4,23 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Coroutine
+from typing import Any
 
 from alderspool.protocol import claims
 from alderspool.protocol.http_client import BrokenReplyError, ClientWire
 from alderspool.routing.exchange import Exchange
 from alderspool.routing.messages import Claim
 from alderspool.transport.budget import DescriptorBudget
+from alderspool.transport.streams import READ_SIZE, read_reply
 from lynxlift.interface import ServerId, Settings, Status
 
 # A connection idle for this share of the node's limit is closed by us: the node may close it at any
 # time up to the limit, and a claim written into that moment would be lost without proof.
 IDLE_SHARE = 0.6
 SWEEP_S = 0.5
-READ_SIZE = 64 * 1024
 PROBE_S = 1.0
+Place = tuple[str, int]
 
 
 class NodeConnection:
@@ -35,9 +37,6 @@
         self.idle_since = 0.0
 
 
-Place = tuple[str, int]
-
-
 class NodePool:
     def __init__(self, exchange: Exchange, settings: Settings, budget: DescriptorBudget) -> None:
         self._exchange, self._budget = exchange, budget
@@ -46,7 +45,7 @@
         self._loop = asyncio.get_running_loop()
         self._idle: dict[ServerId, deque[NodeConnection]] = {}  # the longest idle first
         self._tasks: set[asyncio.Task[None]] = set()
-        self.spare_descriptor: Callable[[], bool] = self.drop_longest_idle
+        budget.on_tight(self._drop_longest_idle)
         self._loop.call_later(SWEEP_S, self._sweep)
 
     # ---- what the exchange asks for ------------------------------------------------------------
@@ -75,7 +74,7 @@
 
     # ---- connections ---------------------------------------------------------------------------
 
-    def _spawn(self, work) -> asyncio.Task[None]:
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = self._loop.create_task(work)
         self._tasks.add(task)  # the loop itself keeps only weak references
         task.add_done_callback(self._tasks.discard)
@@ -94,7 +93,7 @@
         return None
 
     async def _dial(self, claim: Claim) -> None:
-        if self._budget.tight and not self.spare_descriptor() and self._budget.spent:
+        if not self._budget.make_room():
             self._exchange.claim_ended(claim, Status.CONNECT_FAILED)  # no socket to dial with
             return
         self._budget.take()
@@ -148,7 +147,14 @@
             if not reusable:
                 return
 
-    def _end(self, conn, claim: Claim, status: Status, answer=None, keep: bool = False) -> None:
+    def _end(
+        self,
+        conn: NodeConnection,
+        claim: Claim,
+        status: Status,
+        answer: claims.NodeAnswer | None = None,
+        keep: bool = False,
+    ) -> None:
         conn.claim = claim.carrier = None
         if keep:
             conn.idle_since = self._loop.time()
@@ -170,7 +176,7 @@
             if not line:
                 del self._idle[node]
 
-    def drop_longest_idle(self) -> bool:
+    def _drop_longest_idle(self) -> bool:
         """Gives a descriptor back, where one is to spare."""
         lines = [line for line in self._idle.values() if line]
         if not lines:
@@ -187,9 +193,7 @@
                 try:
                     status, wire = Status.TIMEOUT, claims.claim_wire()
                     writer.write(claims.compose_probe(wire, host))
-                    while (reply := wire.receive(await reader.read(READ_SIZE))) is None:
-                        pass
-                    status = claims.read_probe(reply)
+                    status = claims.read_probe(await read_reply(reader, wire))
                 finally:
                     writer.transport.abort()
         except TimeoutError:
