--- a/alderspool/protocol/submitters.py
+++ b/alderspool/protocol/submitters.py
@@ -46,7 +46,6 @@
     status: int
     why: str
     headers: list[tuple[bytes, bytes]] = field(default_factory=list)
-    fatal: bool = False  # what follows on the connection cannot be trusted
 
 
 class ReadyQuery:
@@ -201,7 +200,7 @@
         self._broken = True
         if self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return ENDED  # its answer is already out
-        return Rejection(status if status in _REASONS else 400, why, fatal=True)
+        return Rejection(status if status in _REASONS else 400, why)
 
     @property
     def idle(self) -> bool:
