Ask for list changes also where they are pushed; test dialling, idling and readiness

At a site with pushed discovery the module never asks (Balancer.start), and over HTTP nothing is pushed: the exchange now starts the watch itself. New socket tests: a dial that never comes up, an idle connection closed before the node would, /ready, and four kinds of failed discovery calls.

--- a/alderspool/routing/exchange.py
+++ b/alderspool/routing/exchange.py
@@ -65,6 +65,8 @@
     def start(self, nodes: ExecuteNodes, discovery: Discovery, known: MachineList) -> None:
         self._nodes, self._discovery = nodes, discovery
         self._carry_out(self._balancer.start(self._clock.now()))
+        if not self._settings.watch_needed:
+            self._discovery.watch(True)  # where changes are pushed the module does not ask; here we must
         self._take_list(known, api.ListMode.CACHED)
 
     # ---- the submitters' side ----------------------------------------------------------------
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -51,6 +51,13 @@
         self.closed.append(node)
 
 
+class Watches:
+    on = None
+
+    def watch(self, on: bool) -> None:
+        self.on = on
+
+
 def machines(*names: bytes, state: int = api.Availability.READY, revision: int = 1) -> MachineList:
     return MachineList(
         revision, True, [Machine(api.ServerEntry(n, availability=state), "127.0.0.1", 1) for n in names]
@@ -61,7 +68,7 @@
     exchange = Exchange(api.Settings.from_pairs(flatten(SETTINGS) | settings), 1, Clock())
     exchange._balancer = script = Script(actions)
     nodes, answers = Nodes(), []
-    exchange.start(nodes, None, machines(b"s1", b"s2"))
+    exchange.start(nodes, Watches(), machines(b"s1", b"s2"))
     return exchange, script, nodes, answers
 
 
@@ -149,3 +156,10 @@
     seen = len(script.events)
     exchange.submit(submission(), answers.append)
     assert answers == [RequeueNotice()] and len(script.events) == seen
+
+
+@real
+async def test_changes_are_asked_for_also_where_the_module_expects_them_to_be_pushed() -> None:
+    for mode, wanted in (("pushed", True), ("on_request", None)):  # there the module asks, here the script
+        exchange = bench({}, discovery=mode)[0]
+        assert exchange._discovery.on is wanted
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+import socket
 import time
 
 import pytest
@@ -156,7 +157,11 @@
 
 
 @real
-async def test_the_watch_goes_on_at_once_and_garbage_leaves_the_old_list() -> None:
+@pytest.mark.parametrize(
+    "failure",
+    [b'HTTP/1.1 200 OK\r\nContent-Length: 15\r\n\r\n{"index":"what"', BARE_503, b"", b"rubbish\r\n\r\n"],
+)
+async def test_the_watch_goes_on_at_once_and_a_failed_call_leaves_the_old_list(failure: bytes) -> None:
     async with Rig(Party("s1")) as rig:
         gaps = []
         for index in range(5, 8):
@@ -167,12 +172,25 @@
             gaps.append(rig.calls[-1] - told)
         assert min(gaps) < 0.2  # the best: a busy machine must not change the verdict
         assert b"since=7&" in rig.discovery.got[3][0]
-        rig.tell_raw(b'HTTP/1.1 200 OK\r\nContent-Length: 15\r\n\r\n{"index":"what"')
+        rig.tell_raw(failure)
         await rig.asked(5)  # after the module's own wait
         assert b"since=7&" in rig.discovery.got[4][0]
         assert (await rig.ask())[0] == 200
 
 
+@real
+async def test_ready_only_once_it_can_serve() -> None:
+    node = Party("s1")
+    await node.start()
+    async with Rig() as rig:
+        assert await rig.ready() is False
+        rig.tell(node.entry())
+        await rig.asked(2)
+        assert await rig.ready() is True
+        assert (await rig.ask())[0] == 200
+    node.server.close()
+
+
 # ---- rule 4: a cold node is not pushed over ---------------------------------------------------------------
 
 
@@ -218,6 +236,32 @@
         assert rig.nodes[0].opened == 4
 
 
+@real
+async def test_an_idle_connection_is_closed_well_before_the_node_would() -> None:
+    async with Rig(Party("s1"), settings={"bounds": {"conn_idle_ms": 1000.0}}) as rig:
+        assert (await rig.ask("pay"))[0] == 200
+        await rig.nodes[0].ended.wait()  # the node itself closes nothing
+        assert (await rig.ask("pay"))[0] == 200
+        assert rig.nodes[0].opened == 2
+
+
+@real
+async def test_a_connection_that_never_comes_up_is_given_up_after_the_dial_time_out() -> None:
+    full = socket.create_server(("127.0.0.1", 0), backlog=0)  # its queue filled, it answers no more
+    fillers = [socket.socket() for _ in range(8)]
+    for filler in fillers:
+        filler.setblocking(False)
+        filler.connect_ex(full.getsockname())
+    address = f"127.0.0.1:{full.getsockname()[1]}"
+    async with Rig(
+        Party("s1", address=address), Party("s2"), settings={"bounds": {"dial_timeout_ms": 100.0}}
+    ) as rig:
+        assert [(await rig.ask("pay"))[0] for _ in range(4)] == [200] * 4
+        assert rig.nodes[0].got == []
+    for sock in (full, *fillers):
+        sock.close()
+
+
 @real
 async def test_bad_input_is_answered_and_reaches_nobody() -> None:
     async with Rig(Party("s1")) as rig:
