--- a/alderspool/program/app.py
+++ b/alderspool/program/app.py
@@ -14,8 +14,8 @@
 from alderspool.routing.exchange import Exchange
 from alderspool.transport.budget import DescriptorBudget
 from alderspool.transport.discovery import DiscoveryClient
+from alderspool.transport.execute_nodes import ExecuteNodePool
 from alderspool.transport.listener import Listener
-from alderspool.transport.nodes import NodePool
 
 # After SIGTERM new connections keep coming for a while, so the door stays open this long.
 ACCEPT_S = 0.7
@@ -25,7 +25,7 @@
 DRAIN_STEP_S = 0.02
 # A full collection while requests are out would stall them all: what lives from the start is set
 # aside, and the young generation is let grow, so that collections are rare and small.
-GC_THRESHOLDS = (20_000, 50, 1_000)
+GC_THRESHOLDS = (20_000, 50, 10)
 
 
 async def serve(config: Config) -> None:
@@ -36,7 +36,7 @@
         loop.add_signal_handler(number, stop.set)
     exchange = Exchange(config.settings, config.seed, Clock())
     budget = DescriptorBudget(config.limits.sockets)
-    pool = NodePool(exchange, config.settings, budget)
+    pool = ExecuteNodePool(exchange, config.settings, budget)
     discovery = DiscoveryClient(*config.discovery, exchange, config.settings, config.known.revision)
     listener = Listener(exchange, Reader(config.settings), budget)
     exchange.start(pool, discovery, config.known)
--- a/alderspool/protocol/claims.py
+++ b/alderspool/protocol/claims.py
@@ -26,7 +26,7 @@
 
 
 @dataclass(slots=True)
-class NodeAnswer:
+class ExecuteNodeAnswer:
     """An execute node's own answer."""
 
     body: bytes
@@ -42,10 +42,10 @@
     return wire.compose(request.method, request.target, [*request.headers, wait], request.body)
 
 
-def read_outcome(reply: Reply) -> tuple[Status, NodeAnswer | None]:
+def read_outcome(reply: Reply) -> tuple[Status, ExecuteNodeAnswer | None]:
     """What a whole reply proves. Only the node's own word proves that a claim has not run."""
     if reply.status == 200:
-        return Status.OK, NodeAnswer(reply.body, reply.headers.get(b"content-type"))
+        return Status.OK, ExecuteNodeAnswer(reply.body, reply.headers.get(b"content-type"))
     if reply.status in (503, 504) and reply.headers.get(b"x-not-run") == b"1":
         return Status.REJECTED, None
     return Status.ERROR, None  # it may have run
--- a/alderspool/protocol/submitters.py
+++ b/alderspool/protocol/submitters.py
@@ -8,7 +8,7 @@
 import h11
 import msgspec
 
-from alderspool.protocol.claims import BODY_LIMIT, HOP_BY_HOP, ForwardRequest, NodeAnswer
+from alderspool.protocol.claims import BODY_LIMIT, HOP_BY_HOP, ExecuteNodeAnswer, ForwardRequest
 from alderspool.protocol.machine_list import as_setting
 from alderspool.routing.messages import Failed, FinalAnswer, RequeueNotice, Served, Submission
 from lynxlift.interface import Effect, Settings
@@ -234,7 +234,7 @@
 def as_http(answer: FinalAnswer) -> tuple[int, bytes, list[tuple[bytes, bytes]]]:
     """Status, body and headers of a final answer."""
     if isinstance(answer, Served):
-        node: NodeAnswer = answer.payload
+        node: ExecuteNodeAnswer = answer.payload
         return 200, node.body, [(b"Content-Type", node.content_type)] if node.content_type else []
     if isinstance(answer, RequeueNotice):
         advice = answer.retry_after_ms
--- a/alderspool/transport/nodes.py
+++ b/alderspool/transport/execute_nodes.py
@@ -23,7 +23,7 @@
 Place = tuple[str, int]
 
 
-class NodeConnection:
+class ExecuteNodeConnection:
     """One connection to an execute node, with the claim that it carries."""
 
     __slots__ = ("claim", "idle_since", "node", "place", "reader", "wire", "writer")
@@ -37,13 +37,13 @@
         self.idle_since = 0.0
 
 
-class NodePool:
+class ExecuteNodePool:
     def __init__(self, exchange: Exchange, settings: Settings, budget: DescriptorBudget) -> None:
         self._exchange, self._budget = exchange, budget
         self._dial_s = settings.dial_timeout_ms / 1000.0
         self._idle_s = settings.conn_idle_ms * IDLE_SHARE / 1000.0
         self._loop = asyncio.get_running_loop()
-        self._idle: dict[ServerId, deque[NodeConnection]] = {}  # the longest idle first
+        self._idle: dict[ServerId, deque[ExecuteNodeConnection]] = {}  # the longest idle first
         self._tasks: set[asyncio.Task[None]] = set()
         budget.on_tight(self._drop_longest_idle)
         self._loop.call_later(SWEEP_S, self._sweep)
@@ -59,7 +59,7 @@
 
     def withdraw(self, claim: Claim) -> None:
         carrier, claim.carrier = claim.carrier, None
-        if isinstance(carrier, NodeConnection):
+        if isinstance(carrier, ExecuteNodeConnection):
             carrier.claim = None
             carrier.writer.transport.abort()
         elif carrier is not None:
@@ -80,7 +80,7 @@
         task.add_done_callback(self._tasks.discard)
         return task
 
-    def _take_idle(self, claim: Claim) -> NodeConnection | None:
+    def _take_idle(self, claim: Claim) -> ExecuteNodeConnection | None:
         """The freshest idle connection to where the node is now."""
         line = self._idle.get(claim.node)
         while line:
@@ -104,7 +104,7 @@
             except (OSError, TimeoutError):
                 self._exchange.claim_ended(claim, Status.CONNECT_FAILED)
                 return
-            conn = NodeConnection(claim.node, (claim.host, claim.port), reader, writer)
+            conn = ExecuteNodeConnection(claim.node, (claim.host, claim.port), reader, writer)
             try:
                 if self._exchange.may_write(claim):
                     self._write(conn, claim)
@@ -117,13 +117,13 @@
         finally:
             self._budget.give_back()
 
-    def _write(self, conn: NodeConnection, claim: Claim) -> None:
+    def _write(self, conn: ExecuteNodeConnection, claim: Claim) -> None:
         data = claims.compose_claim(conn.wire, claim.payload, self._exchange.time_left_ms(claim))
         claim.carrier, conn.claim = conn, claim
         claim.written = True  # from here on it may run, whatever becomes of the connection
         conn.writer.write(data)
 
-    async def _read(self, conn: NodeConnection) -> None:
+    async def _read(self, conn: ExecuteNodeConnection) -> None:
         """Reads until the connection ends; also while it idles, so that its end is noticed at once."""
         while True:
             try:
@@ -149,10 +149,10 @@
 
     def _end(
         self,
-        conn: NodeConnection,
+        conn: ExecuteNodeConnection,
         claim: Claim,
         status: Status,
-        answer: claims.NodeAnswer | None = None,
+        answer: claims.ExecuteNodeAnswer | None = None,
         keep: bool = False,
     ) -> None:
         conn.claim = claim.carrier = None
@@ -161,7 +161,7 @@
             self._idle.setdefault(conn.node, deque()).append(conn)
         self._exchange.claim_ended(claim, status, answer)
 
-    def _forget(self, conn: NodeConnection) -> None:
+    def _forget(self, conn: ExecuteNodeConnection) -> None:
         line = self._idle.get(conn.node)
         if line and conn in line:
             line.remove(conn)
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -120,7 +120,7 @@
 
 
 ANSWERS = [
-    (Served(claims.NodeAnswer(b"x", b"text/plain")), 200, (b"Content-Type", b"text/plain")),
+    (Served(claims.ExecuteNodeAnswer(b"x", b"text/plain")), 200, (b"Content-Type", b"text/plain")),
     (RequeueNotice(1500.0), 503, (b"Retry-After", b"1.500")),
     (RequeueNotice(), 503, None),
     (Failed(), 502, None),
