Bind before discovery is called; no broken answer keeps an outcome from the module

Seen: an address in use was named in one line, but a call to discovery had logged one before it. program/app.py now binds first, then starts the exchange, then accepts. routing/exchange.py, _conclude: an answer callback that raised would have skipped the outcome, and the module would have counted the claim as open for ever. Found by reading; shown by a test.

--- a/alderspool/program/app.py
+++ b/alderspool/program/app.py
@@ -39,11 +39,12 @@
     pool = ExecuteNodePool(exchange, config.settings, budget)
     discovery = DiscoveryClient(*config.discovery, exchange, config.settings, config.known.revision)
     listener = Listener(exchange, Reader(config.settings), budget)
-    exchange.start(pool, discovery, config.known)
     try:
-        await listener.open(*config.listen)
+        await listener.bind(*config.listen)
     except OSError as fault:
         raise ConfigError(f"BALANCER_LISTEN: cannot listen there: {fault.strerror}") from None
+    exchange.start(pool, discovery, config.known)
+    await listener.accept()
     logger.info(
         "{} serves at {}:{}; {} machines known", config.name, *config.listen, len(config.known.machines)
     )
--- a/alderspool/routing/exchange.py
+++ b/alderspool/routing/exchange.py
@@ -279,7 +279,10 @@
     def _conclude(self, request_id: int, owed: Owed, answer: FinalAnswer, how: str) -> None:
         owed.concluded = True
         self.counts[how] += 1
-        owed.answer(answer)
+        try:
+            owed.answer(answer)
+        except Exception:  # one submitter's broken connection must not keep the outcome from the module
+            self._log("exception", "an answer could not be given")
 
     def _settle(self, request_id: int, owed: Owed) -> None:
         if owed.concluded and not owed.out:
--- a/alderspool/transport/listener.py
+++ b/alderspool/transport/listener.py
@@ -86,10 +86,13 @@
         self.draining = self._warned = False
         budget.on_tight(self._drop_longest_idle)
 
-    async def open(self, host: str, port: int) -> None:
+    async def bind(self, host: str, port: int) -> None:
         self._server = await asyncio.start_server(
-            self._attend, host, port, backlog=BACKLOG, limit=READ_SIZE, start_serving=True
+            self._attend, host, port, backlog=BACKLOG, limit=READ_SIZE, start_serving=False
         )
+
+    async def accept(self) -> None:
+        await self._server.start_serving()
         self._sweep()
 
     @property
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -163,3 +163,11 @@
     for mode, wanted in (("pushed", True), ("on_request", None)):  # there the module asks, here the script
         exchange = bench({}, discovery=mode)[0]
         assert exchange._discovery.on is wanted
+
+
+@real
+async def test_an_answer_that_cannot_be_given_keeps_nothing_from_the_module() -> None:
+    exchange, script, nodes, _ = bench(SEND)
+    exchange.submit(submission(), lambda answer: 1 / 0)
+    exchange.claim_ended(nodes.sent[0], S.OK, "answer")
+    assert (script.events[-1].status, script.events[-1].finished) == (S.OK, True) and exchange.owed == 0
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 import json
+import os
+import socket
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
@@ -22,7 +26,7 @@
 
 
 def environ(tmp_path: Path, text: str) -> dict[str, str]:
-    (tmp_path / "config.json").write_text(text)
+    (tmp_path / "config.json").write_bytes(text.encode(errors="surrogateescape"))
     return {"BALANCER_CONFIG": str(tmp_path / "config.json")}
 
 
@@ -60,6 +64,7 @@
     (json.dumps(DOC | {"seed": 5}), "seed"),
     (json.dumps(DOC | {"seed": "xyz"}), "seed"),
     (json.dumps(DOC | {"listen": "nowhere"}), "BALANCER_LISTEN"),
+    ("\udcff", "BALANCER_CONFIG"),
     (json.dumps(DOC | {"discovery": "10.0.0.1:0"}), "BALANCER_DISCOVERY"),
     (json.dumps(DOC | {"limits": {"sockets": "many"}}), "limits.sockets"),
     (json.dumps(DOC | {"limits": {"sockets": 3}}), "limits.sockets"),
@@ -93,3 +98,14 @@
     assert CliRunner().invoke(main, ["version"]).output.startswith("alderspool ")
     result = CliRunner(env=told).invoke(main, ["check-config"])
     assert result.exit_code == 0 and "127.0.0.1:3000" in result.output
+
+
+def test_an_address_that_cannot_be_had_is_named(tmp_path: Path) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        listen = f"127.0.0.1:{taken.getsockname()[1]}"
+        told = environ(tmp_path, json.dumps(DOC | {"listen": listen, "discovery": "127.0.0.1:9"}))
+        command = [sys.executable, "-m", "alderspool", "serve"]
+        done = subprocess.run(command, env=os.environ | told, capture_output=True, text=True, timeout=30)
+    assert done.returncode == 2
+    (line,) = done.stderr.splitlines()
+    assert "BALANCER_LISTEN" in line
