--- a/alderspool/routing/exchange.py
+++ b/alderspool/routing/exchange.py
@@ -249,6 +249,13 @@
         else:
             self._nodes.probe(action.server, machine.host, machine.port)
 
+    def _module_log(self, action: api.Log) -> None:
+        """The module knows a machine by the bytes of its name and logs them in hex; people know the name."""
+        text = action.text
+        for name in self._machines:
+            text = text.replace(name.hex(), name.decode())
+        self._log("info", "module: {}", text)
+
     def _log(self, level: str, text: str, *parts: object) -> None:
         if self._log_left > 0:  # the log is kept in memory: one that grows without end would kill us
             self._log_left -= 1
@@ -265,7 +272,7 @@
         api.FetchList: lambda self, action: self._discovery.fetch(),
         api.CloseIdle: lambda self, action: self._nodes.close_idle(action.server),
         api.TellPeer: lambda self, action: None,  # the protocol has no channel between proxies
-        api.Log: lambda self, action: self._log("info", "module: {}", action.text),
+        api.Log: _module_log,
     }
 
     # ---- the ledger -------------------------------------------------------------------------------
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from loguru import logger
 from rig import SETTINGS, real
 
 from alderspool.program.config import flatten
@@ -171,3 +172,13 @@
     exchange.submit(submission(), lambda answer: 1 / 0)
     exchange.claim_ended(nodes.sent[0], S.OK, "answer")
     assert (script.events[-1].status, script.events[-1].finished) == (S.OK, True) and exchange.owed == 0
+
+
+@real
+async def test_the_modules_log_lines_name_machines_as_people_know_them() -> None:
+    exchange, _, _, answers = bench({api.Request: [api.Log(f"eject {b's1'.hex()}: 3 failures")]})
+    lines: list[str] = []
+    sink = logger.add(lines.append, format="{message}")
+    exchange.submit(submission(), answers.append)
+    logger.remove(sink)
+    assert lines == ["module: eject s1: 3 failures\n"]
