Reload on SIGHUP; refuse smuggled and doubled requests; let slow submitters go

Now the file is read anew and transport/discovery.py moves to the new address, from its whole list; a bad file is logged and the old one holds. Each watch has a connection of its own, so that an ended watch cannot drop its successor's. - Duplicates: every one stood in the body of a request with Content-Length and Transfer-Encoding; h11 goes by the latter and the rest passed as the next request. protocol/submitters.py refuses both together. Differing, negative and odd lengths h11 refuses already. - Requests with an id that is open at this proxy were passed on, up to five times each, and the nodes' 400 counted against their health. The exchange now knows the open ids; the listener answers 400. - Descriptors: all in use. asyncio's server accepts up to its backlog in one go, before any connection is counted, and eviction picked the same idle one again and again, as it was closed later (transport/listener.py, _drop_longest_idle). Connections are now accepted one at a time and counted there; submitters have a part of the descriptors; first to go is who never sent a request. - PARTIAL_S 10 s and IDLE_S 75 s gave way to one patience of 2.1 s, counted so that a trickled byte does not start it anew. 99 in 100 kept connections were used again within 0.8 s. - Who sent a bad request kept its connection and sent up to 600 more: bad input now ends the connection. - An answer of 3 GB was read up to 64 KiB; it is broken off at its head. 1xx in front is read already. - What comes in after an answer, before the pooled connection's next claim is written, passed for that claim's answer.

--- a/alderspool/program/app.py
+++ b/alderspool/program/app.py
@@ -4,15 +4,16 @@
 
 import asyncio
 import gc
+import os
 import signal
 
 from loguru import logger
 
-from alderspool.program.config import Config, ConfigError
+from alderspool.program.config import Config, ConfigError, load
 from alderspool.protocol.submitters import Reader
 from alderspool.routing.clock import Clock
 from alderspool.routing.exchange import Exchange
-from alderspool.transport.budget import DescriptorBudget
+from alderspool.transport.budget import SUBMITTERS_SHARE, DescriptorBudget
 from alderspool.transport.discovery import DiscoveryClient
 from alderspool.transport.execute_nodes import ExecuteNodePool
 from alderspool.transport.listener import Listener
@@ -35,16 +36,17 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     exchange = Exchange(config.settings, config.seed, Clock())
-    budget = DescriptorBudget(config.limits.sockets)
-    pool = ExecuteNodePool(exchange, config.settings, budget)
-    discovery = DiscoveryClient(*config.discovery, exchange, config.settings, config.known.revision)
-    listener = Listener(exchange, Reader(config.settings), budget)
+    budget = DescriptorBudget.of(config.limits.sockets)
+    pool = ExecuteNodePool(exchange, config.settings, budget.part(1.0))
+    discovery = DiscoveryClient(config.discovery, exchange, config.settings, config.known.revision)
+    loop.add_signal_handler(signal.SIGHUP, _reload, config, discovery)
+    listener = Listener(exchange, Reader(config.settings), budget.part(SUBMITTERS_SHARE))
     try:
-        await listener.bind(*config.listen)
+        listener.bind(*config.listen)
     except OSError as fault:
         raise ConfigError(f"BALANCER_LISTEN: cannot listen there: {fault.strerror}") from None
     exchange.start(pool, discovery, config.known)
-    await listener.accept()
+    listener.accept()
     logger.info(
         "{} serves at {}:{}; {} machines known", config.name, *config.listen, len(config.known.machines)
     )
@@ -57,6 +59,19 @@
     logger.info("{} ends; {}", config.name, exchange.counts)
 
 
+def _reload(config: Config, discovery: DiscoveryClient) -> None:
+    """Takes over where the list comes from now. All that is taken, learned and open stays as it is."""
+    try:
+        fresh = load(os.environ, anew=True)
+    except ConfigError as fault:  # a file that is half written, or wrong, must not end the service
+        logger.error("configuration not taken over, the old one holds: {}", fault)
+        return
+    discovery.move(fresh.discovery)
+    logger.info("{} has its list from {}:{} now", config.name, *fresh.discovery)
+    if (fresh.settings, fresh.limits) != (config.settings, config.limits):
+        logger.warning("settings or limits have changed too: they take a restart")
+
+
 async def _drain(exchange: Exchange, listener: Listener, config: Config) -> None:
     loop = asyncio.get_running_loop()
     longest = max(c.deadline_ms for c in config.settings.classes) / 1000.0
--- a/alderspool/program/config.py
+++ b/alderspool/program/config.py
@@ -74,7 +74,9 @@
     return "" if value is None else as_setting(str(value))
 
 
-def load(environ: Mapping[str, str]) -> Config:
+def load(environ: Mapping[str, str], anew: bool = False) -> Config:
+    """Reads the configuration. At a start the environment comes before the file; where the file is read
+    anew, what it says of discovery is the news, and the environment is as it was at the start."""
     path = environ.get("BALANCER_CONFIG")
     if not path:
         raise ConfigError("BALANCER_CONFIG: not set")
@@ -100,10 +102,11 @@
         seed = int(doc.seed, 16)
     except ValueError:
         raise ConfigError(f"seed: not hexadecimal: {doc.seed!r}") from None
+    given = (environ.get("BALANCER_DISCOVERY"), doc.discovery)
     return Config(
         name=environ.get("BALANCER_NAME") or doc.name,
         listen=_address("BALANCER_LISTEN", environ.get("BALANCER_LISTEN") or doc.listen),
-        discovery=_address("BALANCER_DISCOVERY", environ.get("BALANCER_DISCOVERY") or doc.discovery),
+        discovery=_address("BALANCER_DISCOVERY", given[anew] or given[not anew] or ""),
         seed=seed,
         limits=doc.limits,
         known=known,
--- a/alderspool/protocol/http_client.py
+++ b/alderspool/protocol/http_client.py
@@ -50,9 +50,15 @@
                 kind = type(event)
                 if kind is h11.Response:
                     self._head, self._body, self._size = event, [], 0
-                    if not any(n in (b"content-length", b"transfer-encoding") for n, _ in event.headers):
-                        # Its end could not be told from a break: half an answer must not pass as one.
-                        raise BrokenReplyError("a body without a stated length")
+                    stated = {
+                        n: v for n, v in event.headers if n in (b"content-length", b"transfer-encoding")
+                    }
+                    if len(stated) != 1:
+                        # None: its end could not be told from a break, and half an answer must not pass
+                        # as one. Both: they contradict each other, and so would whoever reads it.
+                        raise BrokenReplyError("a body without a stated length, or with two")
+                    if int(stated.get(b"content-length", 0)) > self._limit:  # it need not come to be too long
+                        raise BrokenReplyError("a body over the limit")
                 elif kind is h11.Data:
                     self._size += len(event.data)
                     if self._size > self._limit:  # an endless body would fill the memory
--- a/alderspool/protocol/submitters.py
+++ b/alderspool/protocol/submitters.py
@@ -120,6 +120,7 @@
             _key_of(parts[-1]) if len(parts) > 2 else 0,
             float(wait),
             ForwardRequest(raw.method, raw.target, passed, raw.body),
+            name=seen[b"x-request-id"],
             is_repeat=seen.get(b"x-retry") == b"1",
             cost_hint_ms=_hint(seen.get(b"x-cost-hint")),
         )
@@ -172,6 +173,9 @@
                 kind = type(event)
                 if kind is h11.Request:
                     self._head, self._body, self._size = event, [], 0
+                    if _states_both(event):
+                        # Whoever goes by the other one sees a second request in this one's body.
+                        return self._break_off(400, "Content-Length and Transfer-Encoding")
                     if _stated_length(event) > BODY_LIMIT:  # no need to wait for all of it
                         return self._break_off(413, "body over 64 KiB")
                     if sum(len(n) + len(v) for n, v in event.headers) + len(event.target) > HEAD_LIMIT:
@@ -207,6 +211,11 @@
         """Whether nothing of a request has come since the last answer."""
         return self._h11.their_state is h11.IDLE and not self._h11.trailing_data[0]
 
+    def too_slow(self) -> Rejection | None:
+        """For a request of which a part is still missing after too long."""
+        step = self._break_off(408, "request not whole in time")
+        return step if isinstance(step, Rejection) else None
+
     def go_on(self) -> bytes:
         """The interim answer to `Expect: 100-continue`."""
         return self._h11.send(h11.InformationalResponse(status_code=100, headers=[])) or b""
@@ -227,6 +236,11 @@
         return out, True
 
 
+def _states_both(head: h11.Request) -> bool:
+    names = {name for name, _ in head.headers}
+    return b"content-length" in names and b"transfer-encoding" in names
+
+
 def _stated_length(head: h11.Request) -> int:
     return int(next((value for name, value in head.headers if name == b"content-length"), 0))
 
--- a/alderspool/routing/exchange.py
+++ b/alderspool/routing/exchange.py
@@ -56,6 +56,7 @@
         self._discovery: Discovery
         self._machines: dict[api.ServerId, Machine] = {}
         self._ledger: dict[int, Owed] = {}
+        self._open_names: set[bytes] = set()  # the submitters' own ids of what is in the ledger
         self._next_id = 0
         self._events: deque[api.Event] = deque()
         self._feeding = False
@@ -80,6 +81,11 @@
         """Requests whose final answer is still owed."""
         return sum(not owed.concluded for owed in self._ledger.values())
 
+    def is_open(self, name: bytes) -> bool:
+        """Whether a request of this name is in the ledger. One more could not be told from it: an execute
+        node takes it for a copy, and an answer to the one would pass for an answer to the other."""
+        return name in self._open_names
+
     def submit(self, submission: Submission, answer: AnswerCallback) -> int:
         """Takes a request; `answer` is called exactly once, perhaps before this returns."""
         self.counts["taken"] += 1
@@ -92,6 +98,7 @@
         deadline = self._clock.now() + submission.time_left_ms
         timer = self._loop.call_at(self._clock.loop_time(deadline), self._at_deadline, request_id)
         self._ledger[request_id] = Owed(submission, answer, deadline, timer)
+        self._open_names.add(submission.name)
         self._feed(
             api.Request(
                 request_id,
@@ -294,7 +301,8 @@
     def _settle(self, request_id: int, owed: Owed) -> None:
         if owed.concluded and not owed.out:
             owed.timer.cancel()
-            self._ledger.pop(request_id, None)
+            if self._ledger.pop(request_id, None) is not None:
+                self._open_names.discard(owed.submission.name)
 
     def _expire(self, claim: Claim) -> None:
         """Its time is over. What was not yet written has surely not run."""
--- a/alderspool/routing/messages.py
+++ b/alderspool/routing/messages.py
@@ -18,6 +18,7 @@
     key: int
     time_left_ms: float
     payload: Any
+    name: bytes = b""  # the submitter's own id of it, unique among what is open; b"": none
     is_repeat: bool = False
     cost_hint_ms: float = 0.0
 
--- a/alderspool/transport/budget.py
+++ b/alderspool/transport/budget.py
@@ -5,36 +5,44 @@
 from collections.abc import Callable
 
 SPARE = 48  # listener, event loop, discovery, standard streams, and what is just being closed
-HARD_SPARE = 16  # so few left: a connection more could make accepting fail
+SUBMITTERS_SHARE = 0.6  # of the rest; requests hold no more than a third of the limit
 
 
 class DescriptorBudget:
-    """Counts sockets. Near the limit the caller has to let go of an idle one first."""
+    """Counts one side's sockets. `part` keeps some for the others, so that a flood on one side leaves
+    the other what it needs; at the limit something idle of the same side has to go first."""
 
-    def __init__(self, limit: int) -> None:
-        self._soft = max(limit - SPARE, 8)
-        self._hard = max(limit - HARD_SPARE, 12)
+    def __init__(self, limit: int, whole: DescriptorBudget | None = None) -> None:
+        self._limit, self._whole = max(limit, 8), whole
+        self._let_go: Callable[[], bool] = lambda: False
         self.held = 0
-        self._spares: list[Callable[[], bool]] = []
 
-    @property
-    def tight(self) -> bool:
-        return self.held >= self._soft
+    @classmethod
+    def of(cls, descriptors: int) -> DescriptorBudget:
+        return cls(descriptors - SPARE)
 
-    @property
-    def spent(self) -> bool:
-        return self.held >= self._hard
+    def part(self, share: float, most: int | None = None) -> DescriptorBudget:
+        limit = int(self._limit * share)
+        return DescriptorBudget(limit if most is None else min(limit, most), self)
 
     def on_tight(self, let_go: Callable[[], bool]) -> None:
-        """`let_go` closes something idle and says whether there was any; the first told is asked first."""
-        self._spares.append(let_go)
+        """`let_go` closes something idle and says whether there was any."""
+        self._let_go = let_go
+
+    @property
+    def tight(self) -> bool:
+        return self.held >= self._limit or self._whole is not None and self._whole.tight
 
     def make_room(self) -> bool:
         """Whether one more socket may be held, after letting go of an idle one where that is needed."""
-        return not self.tight or any(let_go() for let_go in self._spares) or not self.spent
+        return not self.tight or self._let_go()
 
     def take(self) -> None:
         self.held += 1
+        if self._whole is not None:
+            self._whole.take()
 
     def give_back(self) -> None:
         self.held -= 1
+        if self._whole is not None:
+            self._whole.give_back()
--- a/alderspool/transport/discovery.py
+++ b/alderspool/transport/discovery.py
@@ -8,7 +8,8 @@
 from alderspool.protocol.http_client import BrokenReplyError, Reply
 from alderspool.protocol.machine_list import MachineListError
 from alderspool.routing.exchange import Exchange
-from alderspool.transport.streams import READ_SIZE, read_reply
+from alderspool.routing.messages import MachineList
+from alderspool.transport.streams import connect, read_reply
 from lynxlift.interface import Settings
 
 # A watch waits this long at most. What discovery has to tell counts as told 2 s after the wait ends,
@@ -17,25 +18,62 @@
 DIAL_S = 1.0  # a discovery that is cut off must not hold a call for the whole wait
 FETCH_S = 5.0
 EMPTY_S = 0.1  # a watch goes on if the next call comes within 0.2 s
+# After a move all that the new discovery has to tell counts as told within 4 s: it is asked for the
+# whole list until it gives one, each call no longer than the first, the next one after the second,
+# doubled each time up to the third: one that is down must not be stormed.
+MOVED_CALL_S, MOVED_AGAIN_S, MOVED_AGAIN_MAX_S = 1.5, 0.2, 3.2
 FAULTS = (OSError, TimeoutError, BrokenReplyError, MachineListError)
+Place = tuple[str, int]
 
 
 def _text(fault: Exception) -> str:
     return str(fault)[:200] or type(fault).__name__
 
 
+class DiscoveryConnection:
+    """One connection to discovery, kept from call to call; calls go one at a time."""
+
+    def __init__(self, place: Place) -> None:
+        self._place = place
+        self._reader: asyncio.StreamReader | None = None
+        self._writer: asyncio.StreamWriter | None = None
+        self._wire = machine_list.list_wire()
+
+    async def call(self, since: int | None = None, wait_ms: int = 0) -> Reply:
+        """The answer to one call; on a kept connection that ended meanwhile, once more on a new one."""
+        while True:
+            kept = self._writer is not None
+            try:
+                if not kept:
+                    self._wire = machine_list.list_wire()
+                    async with asyncio.timeout(DIAL_S):
+                        self._reader, self._writer = await connect(*self._place)
+                call = machine_list.compose_call(self._wire, self._place[0], since, wait_ms)
+                self._writer.write(call)
+                reply = await read_reply(self._reader, self._wire)
+                if not self._wire.reusable:
+                    self.drop()
+                return reply
+            except (OSError, BrokenReplyError):
+                self.drop()
+                if not kept:
+                    raise
+
+    def drop(self) -> None:
+        if self._writer is not None:
+            self._writer.transport.abort()
+        self._reader = self._writer = None
+
+
 class DiscoveryClient:
-    """One kept connection for the watch, one call at a time."""
+    """The watch on the machine list, and fetches of the whole of it."""
 
-    def __init__(self, host: str, port: int, exchange: Exchange, settings: Settings, revision: int) -> None:
-        self._place, self._exchange, self._settings = (host, port), exchange, settings
-        self._revision = revision
+    def __init__(self, place: Place, exchange: Exchange, settings: Settings, revision: int) -> None:
+        self._place, self._exchange, self._settings = place, exchange, settings
+        self._revision: int | None = revision  # None: nothing of this discovery's list is held yet
         self._wait_ms = int(min(settings.ask_within_ms, LONGEST_WAIT_MS))
         self._watching: asyncio.Task[None] | None = None
         self._fetching: asyncio.Task[None] | None = None
-        self._reader: asyncio.StreamReader | None = None
-        self._writer: asyncio.StreamWriter | None = None
-        self._wire = machine_list.list_wire()
 
     def watch(self, on: bool) -> None:
         running = self._watching is not None and not self._watching.done()
@@ -48,67 +86,67 @@
         if self._fetching is None or self._fetching.done():  # one at a time: calls load discovery
             self._fetching = asyncio.get_running_loop().create_task(self._fetch())
 
+    def move(self, place: Place) -> None:
+        """Goes on at another address. Its versions need not continue those of the old one, so nothing
+        is asked for by version, nor taken from the old one, until it has given its whole list."""
+        if place == self._place:
+            return
+        self._place, self._revision = place, None
+        for task in (self._watching, self._fetching):
+            if task is not None:
+                task.cancel()
+        self._watching = None
+        self.watch(True)
+
     async def _watch(self) -> None:
         """The next call follows the last answer at once; a failed one ends the watch, and the
         module says when to ask again."""
-        loop, limit = asyncio.get_running_loop(), self._wait_ms / 1000.0 + LATE_S
+        loop, line = asyncio.get_running_loop(), DiscoveryConnection(self._place)
         try:
+            if self._revision is None:
+                self._take(await self._first_list(line))
             while True:
                 asked = loop.time()
-                async with asyncio.timeout(limit):
-                    reply = await self._call()
+                async with asyncio.timeout(self._wait_ms / 1000.0 + LATE_S):
+                    reply = await line.call(self._revision, self._wait_ms)
                 told = machine_list.read_list(reply, self._settings)
-                self._revision = told.revision
-                self._exchange.list_told(told)
+                self._take(told)
                 if not told.machines and loop.time() - asked < EMPTY_S:
                     await asyncio.sleep(EMPTY_S)  # a discovery that does not wait must not be stormed
         except FAULTS as fault:
             self._watching = None  # before the module is told: it may ask again at once
             self._exchange.list_failed(_text(fault))
         finally:
-            self._drop()
+            line.drop()
 
-    async def _call(self) -> Reply:
-        """One watch call; on a kept connection that ended meanwhile, once more on a new one."""
+    async def _first_list(self, line: DiscoveryConnection) -> MachineList:
+        """The whole list of a discovery that is new to us. The module's own wait after a failure would
+        outlast the time in which it counts as told."""
+        wait = MOVED_AGAIN_S
         while True:
-            kept = self._writer is not None
-            if not kept:
-                self._wire = machine_list.list_wire()
-                self._reader, self._writer = await self._dial()
             try:
-                call = machine_list.compose_call(self._wire, self._place[0], self._revision, self._wait_ms)
-                self._writer.write(call)
-                reply = await read_reply(self._reader, self._wire)
-                if not self._wire.reusable:
-                    self._drop()
-                return reply
-            except (OSError, BrokenReplyError):
-                self._drop()
-                if not kept:
-                    raise
-
-    async def _dial(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        async with asyncio.timeout(DIAL_S):
-            return await asyncio.open_connection(*self._place, limit=READ_SIZE)
-
-    def _drop(self) -> None:
-        if self._writer is not None:
-            self._writer.transport.abort()
-        self._reader = self._writer = None
+                async with asyncio.timeout(MOVED_CALL_S):
+                    return machine_list.read_list(await line.call(), self._settings)
+            except FAULTS as fault:
+                line.drop()
+                self._exchange.list_failed(_text(fault))
+            await asyncio.sleep(wait)
+            wait = min(2.0 * wait, MOVED_AGAIN_MAX_S)
+
+    def _take(self, told: MachineList) -> None:
+        self._revision = told.revision
+        self._exchange.list_told(told)
 
     async def _fetch(self) -> None:
+        line = DiscoveryConnection(self._place)
         try:
             async with asyncio.timeout(FETCH_S):
-                reader, writer = await self._dial()
-                try:
-                    wire = machine_list.list_wire()
-                    writer.write(machine_list.compose_call(wire, self._place[0]))
-                    reply = await read_reply(reader, wire)
-                finally:
-                    writer.transport.abort()
+                reply = await line.call()
             told = machine_list.read_list(reply, self._settings)
         except FAULTS as fault:
             self._exchange.list_failed(_text(fault))
         else:
-            if told.revision >= self._revision:  # else the watch has told of later changes already
-                self._exchange.list_told(told)
+            if self._revision is None or told.revision >= self._revision:
+                self._exchange.list_told(told)  # else the watch has told of later changes already
+        finally:
+            line.drop()
--- a/alderspool/transport/execute_nodes.py
+++ b/alderspool/transport/execute_nodes.py
@@ -12,7 +12,7 @@
 from alderspool.routing.exchange import Exchange
 from alderspool.routing.messages import Claim
 from alderspool.transport.budget import DescriptorBudget
-from alderspool.transport.streams import READ_SIZE, read_reply
+from alderspool.transport.streams import READ_SIZE, CountingReader, connect, is_quiet, read_reply
 from lynxlift.interface import ServerId, Settings, Status
 
 # A connection idle for this share of the node's limit is closed by us: the node may close it at any
@@ -29,7 +29,7 @@
     __slots__ = ("claim", "idle_since", "node", "place", "reader", "wire", "writer")
 
     def __init__(
-        self, node: ServerId, place: Place, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, node: ServerId, place: Place, reader: CountingReader, writer: asyncio.StreamWriter
     ) -> None:
         self.node, self.place, self.reader, self.writer = node, place, reader, writer
         self.wire: ClientWire = claims.claim_wire()
@@ -54,6 +54,11 @@
         conn = self._take_idle(claim)
         if conn is not None:
             self._write(conn, claim)
+            if not is_quiet(conn.reader, conn.writer):
+                # Sooner than any answer: it came in while we wrote. The claim is out, and may run.
+                conn.claim = claim.carrier = None
+                conn.writer.transport.abort()
+                self._exchange.claim_ended(claim, Status.RESET)
         else:
             claim.carrier = self._spawn(self._dial(claim))
 
@@ -86,8 +91,9 @@
         while line:
             conn = line.pop()
             fresh = self._loop.time() - conn.idle_since < self._idle_s
-            at_end = conn.reader.at_eof() or conn.writer.transport.is_closing()
-            if fresh and not at_end and conn.place == (claim.host, claim.port):
+            # What came in after the last answer would pass for the answer to this claim.
+            quiet = is_quiet(conn.reader, conn.writer)
+            if fresh and quiet and conn.place == (claim.host, claim.port):
                 return conn
             conn.writer.transport.abort()
         return None
@@ -100,7 +106,7 @@
         try:
             try:
                 async with asyncio.timeout(self._dial_s):
-                    reader, writer = await asyncio.open_connection(claim.host, claim.port, limit=READ_SIZE)
+                    reader, writer = await connect(claim.host, claim.port)
             except (OSError, TimeoutError):
                 self._exchange.claim_ended(claim, Status.CONNECT_FAILED)
                 return
@@ -189,7 +195,7 @@
         self._budget.take()
         try:
             async with asyncio.timeout(PROBE_S):
-                reader, writer = await asyncio.open_connection(host, port, limit=READ_SIZE)
+                reader, writer = await connect(host, port)
                 try:
                     status, wire = Status.TIMEOUT, claims.claim_wire()
                     writer.write(claims.compose_probe(wire, host))
--- a/alderspool/transport/listener.py
+++ b/alderspool/transport/listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 from loguru import logger
 
@@ -23,82 +24,98 @@
 from alderspool.routing.exchange import Exchange
 from alderspool.routing.messages import FinalAnswer
 from alderspool.transport.budget import DescriptorBudget
-from alderspool.transport.streams import READ_SIZE
+from alderspool.transport.streams import READ_SIZE, CountingReader, is_quiet
 
 BACKLOG = 1024
-IDLE_S = 75.0  # a submitter's connection without a request is closed after this long
-PARTIAL_S = 10.0  # and one with half a request after this long: a slow sender must not hold a socket
-LINGER_S, LINGER_BYTES = 1.0, 1 << 20
-SWEEP_S = 1.0
+# What the system buffers of a connection, and we after it: hundreds that send at full speed must not
+# fill the memory before one request of each was looked at.
+INPUT_LIMIT = 16 * 1024
+# A submitter without a whole request is told so, or closed, after this long, whatever it has sent of one:
+# counted from its connecting, its last answer, or the first byte of a further request.
+PATIENCE_S = 2.1
+LINGER_S, LINGER_BYTES = 0.5, 1 << 18
+SWEEP_S = 0.2
 
 
 class SubmitterLink:
     """One submitter's connection."""
 
-    def __init__(self, listener: Listener, writer: asyncio.StreamWriter) -> None:
-        self._listener, self.writer = listener, writer
+    def __init__(self, listener: Listener, reader: CountingReader, writer: asyncio.StreamWriter) -> None:
+        self._listener, self.reader, self.writer = listener, reader, writer
         self.wire = SubmitterWire()
         self.request_id = 0  # in the exchange; 0: none
         self.busy = False  # a request of it is out
+        self.served = False  # it has had an answer, so it is no mere connection
         self.answered = asyncio.Event()
-        self.since = listener.loop.time()  # of the last answer, or of the first byte of half a request
+        self.since = listener.loop.time()  # see PATIENCE_S
         self.over = False  # nothing more is read
 
     def answer(self, final: FinalAnswer) -> None:
         self.busy, self.request_id = False, 0
         self.send(*as_http(final))
 
-    def send(
-        self, status: int, body: bytes, headers: list[tuple[bytes, bytes]], linger: bool = False
-    ) -> None:
-        close = self._listener.draining or self._listener.crowded
-        self.since = self._listener.loop.time()
+    def send(self, status: int, body: bytes, headers: list[tuple[bytes, bytes]], last: bool = False) -> None:
+        """`last`: what follows on this connection is not read."""
+        close = last or self._listener.draining
+        self.since, self.served = self._listener.loop.time(), True
         if self.writer.transport.is_closing():
             return
-        out, last = self.wire.compose(status, body, headers, close)
+        out, ended = self.wire.compose(status, body, headers, close)
         self.writer.write(out)
-        if last:
+        if ended:
             self.over = True
-            if linger:
+            if last:
                 self.writer.write_eof()
             else:
                 self.writer.close()
         self.answered.set()
 
-    def close_if_idle(self) -> None:
-        """Called by way of call_soon: a request that has just been read is found by its reader first,
-        and a connection that holds an unanswered request is never ended."""
-        if self.idle:
-            self.over = True
-            self.writer.close()
-
     @property
     def idle(self) -> bool:
         return not self.busy and not self.over and self.wire.idle
 
+    def close_if_idle(self) -> bool:
+        """Never ends a connection that holds a request, not even one that nobody has read yet."""
+        if not self.idle or not is_quiet(self.reader, self.writer):
+            return False
+        self.over = True
+        self.writer.close()
+        return True
+
+    def break_off(self) -> None:
+        """Half a request, or an answer that is never read."""
+        rejection = None if self.over else self.wire.too_slow()
+        if rejection is not None:
+            self.send(*rejection_http(rejection), last=True)
+        self.over = True
+        if self.writer.transport.get_write_buffer_size():
+            self.writer.transport.abort()
+        else:
+            self.writer.close()
+
 
 class Listener:
     def __init__(self, exchange: Exchange, reader: Reader, budget: DescriptorBudget) -> None:
         self._exchange, self._reader, self._budget = exchange, reader, budget
         self.loop = asyncio.get_running_loop()
-        self._links: dict[SubmitterLink, None] = {}
-        self._server: asyncio.Server | None = None
+        self._links: dict[SubmitterLink, None] = {}  # the oldest first
+        self._socket: socket.socket | None = None
+        self._accepting: asyncio.Task[None] | None = None
         self.draining = self._warned = False
-        budget.on_tight(self._drop_longest_idle)
+        budget.on_tight(self._drop_one)
 
-    async def bind(self, host: str, port: int) -> None:
-        self._server = await asyncio.start_server(
-            self._attend, host, port, backlog=BACKLOG, limit=READ_SIZE, start_serving=False
-        )
+    def bind(self, host: str, port: int) -> None:
+        self._socket = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, INPUT_LIMIT)
+        self._socket.setblocking(False)
+        self._socket.bind((host, port))
 
-    async def accept(self) -> None:
-        await self._server.start_serving()
+    def accept(self) -> None:
+        self._socket.listen(BACKLOG)
+        self._accepting = self.loop.create_task(self._accept())
         self._sweep()
 
-    @property
-    def crowded(self) -> bool:
-        return self._budget.tight
-
     # ---- the end -------------------------------------------------------------------------------
 
     def drain(self) -> None:
@@ -107,10 +124,11 @@
 
     def stop_accepting(self) -> None:
         """Closes the door, and what is idle behind it. What holds a request stays until its answer."""
-        if self._server is not None:
-            self._server.close()
-        for link in self._links:
-            self.loop.call_soon(link.close_if_idle)
+        if self._accepting is not None:
+            self._accepting.cancel()
+            self._socket.close()
+        for link in list(self._links):
+            link.close_if_idle()
 
     @property
     def held(self) -> int:
@@ -118,21 +136,44 @@
 
     # ---- one connection ------------------------------------------------------------------------
 
-    async def _attend(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if not self._budget.make_room():
-            # Out of descriptors: with one more, accepting itself would fail for everybody.
-            if not self._warned:  # once: in a flood, one line each would fill the log
-                self._warned = True
-                logger.warning("descriptor budget spent: submitters' connections are closed unread")
-            writer.transport.abort()
-            return
-        self._budget.take()
-        link = SubmitterLink(self, writer)
+    async def _accept(self) -> None:
+        """One at a time, each counted at once: a server that takes all that is waiting in one go would
+        be over the limit before the first of them is counted."""
+        while True:
+            try:
+                sock, _ = await self.loop.sock_accept(self._socket)
+            except OSError as fault:  # gone again, or the system is out of something: later then
+                self._warn(f"accepting failed: {fault}")
+                await asyncio.sleep(0.01)
+                continue
+            if not self._budget.make_room():
+                self._warn("descriptor budget spent: submitters' connections are closed unread")
+                sock.close()
+            else:
+                self._budget.take()
+                reader = CountingReader(limit=INPUT_LIMIT, loop=self.loop)
+                protocol = asyncio.StreamReaderProtocol(reader, self._attend, loop=self.loop)
+                try:
+                    await self.loop.connect_accepted_socket(lambda made=protocol: made, sock)
+                except OSError:
+                    sock.close()
+                    self._budget.give_back()
+            await asyncio.sleep(0)  # a flood of connections must not keep the loop from the rest
+
+    def _warn(self, text: str) -> None:
+        if not self._warned:  # once: in a flood, one line each would fill the log
+            self._warned = True
+            logger.warning(text)
+
+    async def _attend(self, reader: CountingReader, writer: asyncio.StreamWriter) -> None:
+        link = SubmitterLink(self, reader, writer)
         self._links[link] = None
         try:
             await self._converse(link, reader)
         except OSError:  # reset by the submitter: it went away
             pass
+        except Exception as fault:  # whatever it sent, it must not cost more than its own connection
+            self._warn(f"a submitter's connection failed: {fault!r}")
         finally:
             self._links.pop(link, None)
             if link.busy:
@@ -141,7 +182,7 @@
             writer.close()
             self._budget.give_back()
 
-    async def _converse(self, link: SubmitterLink, reader: asyncio.StreamReader) -> None:
+    async def _converse(self, link: SubmitterLink, reader: CountingReader) -> None:
         wire = link.wire
         while not link.over:
             step = wire.next()
@@ -151,7 +192,7 @@
                 data = await reader.read(READ_SIZE)
                 if not data:
                     return
-                if was_idle:
+                if was_idle and link.served:
                     link.since = self.loop.time()
                 wire.receive(data)
             elif step is PAUSED:  # it sent its next request before the answer: that has to wait
@@ -161,27 +202,31 @@
                 link.writer.write(wire.go_on())
             elif step is ENDED:
                 return
-            elif isinstance(step, Rejection):
-                link.send(*rejection_http(step), linger=True)
-                await self._linger(link, reader)
-                return
             else:
-                self._take(link, step)
+                rejection = step if isinstance(step, Rejection) else self._take(link, step)
+                if rejection is not None:
+                    link.send(*rejection_http(rejection), last=True)
+                    await self._linger(reader)
+                    return
                 await link.writer.drain()  # who does not read its answers must not fill the memory
 
-    def _take(self, link: SubmitterLink, raw: RawRequest) -> None:
+    def _take(self, link: SubmitterLink, raw: RawRequest) -> Rejection | None:
+        """Bad input ends its connection: who repeats it at once has to pay for a new one."""
         request = self._reader.read(raw)
         if isinstance(request, Rejection):
-            link.send(*rejection_http(request))
-        elif isinstance(request, ReadyQuery):
+            return request
+        if isinstance(request, ReadyQuery):
             ready = self._exchange.can_serve and not self.draining
             link.send(200 if ready else 503, b"ready\n" if ready else error_body("not ready"), [])
+        elif self._exchange.is_open(request.name):
+            return Rejection(400, "X-Request-Id: that of a request which is still open")
         else:
             link.busy = True
             request_id = self._exchange.submit(request, link.answer)
             link.request_id = request_id if link.busy else 0
+        return None
 
-    async def _linger(self, link: SubmitterLink, reader: asyncio.StreamReader) -> None:
+    async def _linger(self, reader: CountingReader) -> None:
         """Closing over unread bytes resets the connection, and the answer would be lost with it."""
         left = LINGER_BYTES
         try:
@@ -193,22 +238,23 @@
 
     # ---- keeping the number of sockets down ------------------------------------------------------
 
-    def _drop_longest_idle(self) -> bool:
-        """A connection may be closed between requests: its submitter asks again on a new one."""
-        idle = [link for link in self._links if link.idle]
-        if not idle:
-            return False
-        self.loop.call_soon(min(idle, key=lambda link: link.since).close_if_idle)
-        return True
+    def _drop_one(self) -> bool:
+        """Lets go of one that holds no request: first who never sent one, then who sent half of one,
+        then the longest idle, whose submitter asks again on a new connection."""
+        free = [link for link in self._links if not link.busy and not link.over]
+        free.sort(key=lambda link: (link.served, link.wire.idle, link.since))
+        for link in free:
+            if link.wire.idle and not link.close_if_idle():
+                continue  # a request is just coming in
+            if not link.over:
+                link.break_off()
+            return True
+        return False
 
     def _sweep(self) -> None:
         self.loop.call_later(SWEEP_S, self._sweep)
-        now = self.loop.time()
+        oldest = self.loop.time() - PATIENCE_S
         for link in list(self._links):
-            limit = IDLE_S if link.wire.idle else PARTIAL_S
-            if not link.busy and now - link.since > limit:
-                if link.idle and not link.writer.transport.get_write_buffer_size():
-                    self.loop.call_soon(link.close_if_idle)
-                else:
-                    link.over = True
-                    link.writer.transport.abort()  # half a request, or an answer that is never read
+            if link.since < oldest and not link.busy and not link.close_if_idle():
+                if not link.idle:
+                    link.break_off()
--- a/alderspool/transport/streams.py
+++ b/alderspool/transport/streams.py
@@ -3,12 +3,45 @@
 from __future__ import annotations
 
 import asyncio
+import select
 
 from alderspool.protocol.http_client import ClientWire, Reply
 
 READ_SIZE = 64 * 1024  # at a time; also what a stream buffers before it makes the sender wait
 
 
+class CountingReader(asyncio.StreamReader):
+    """A stream reader that knows what has come in and was not yet read."""
+
+    unread = 0
+
+    def feed_data(self, data: bytes) -> None:
+        self.unread += len(data)
+        super().feed_data(data)
+
+    async def read(self, n: int = -1) -> bytes:
+        data = await super().read(n)
+        self.unread -= len(data)
+        return data
+
+
+async def connect(host: str, port: int) -> tuple[CountingReader, asyncio.StreamWriter]:
+    loop = asyncio.get_running_loop()
+    reader = CountingReader(limit=READ_SIZE, loop=loop)
+    protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
+    transport, _ = await loop.create_connection(lambda: protocol, host, port)
+    return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
+
+
+def is_quiet(reader: CountingReader, writer: asyncio.StreamWriter) -> bool:
+    """Whether nothing has come in that nobody has read yet, here or in the system's buffer."""
+    if reader.unread or reader.at_eof() or writer.transport.is_closing():
+        return False
+    poll = select.poll()
+    poll.register(writer.get_extra_info("socket").fileno(), select.POLLIN)
+    return not poll.poll(0)
+
+
 async def read_reply(reader: asyncio.StreamReader, wire: ClientWire) -> Reply:
     """The whole reply to what was sent. Raises OSError, or BrokenReplyError where it is cut short."""
     while (reply := wire.receive(await reader.read(READ_SIZE))) is None:
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -9,7 +9,10 @@
 import functools
 import json
 import os
+import shutil
+import signal
 import sys
+import tempfile
 import time
 from collections.abc import Callable
 from pathlib import Path
@@ -115,7 +118,7 @@
         probe = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
         self.port = probe.sockets[0].getsockname()[1]
         probe.close()
-        config = {
+        self.config = {
             "name": "n1",
             "listen": f"127.0.0.1:{self.port}",
             "discovery": f"127.0.0.1:{self.discovery.port}",
@@ -124,16 +127,14 @@
             "known": {"index": 1, "snapshot": True, "endpoints": [n.entry() for n in self.nodes]},
             "settings": self.settings,
         }
-        read, write = os.pipe()
-        os.write(write, json.dumps(config).encode())
-        os.close(write)
+        self.file = Path(tempfile.mkdtemp(prefix="alderspool-")) / "config.json"
+        self.file.write_text(json.dumps(self.config))
         self.proxy = await asyncio.create_subprocess_exec(
             *(sys.executable, "-m", "alderspool", "serve"),
-            env=os.environ | {"BALANCER_CONFIG": f"/dev/fd/{read}"},
-            pass_fds=(read,),
+            env=os.environ
+            | {"BALANCER_CONFIG": str(self.file), "BALANCER_DISCOVERY": self.config["discovery"]},
             cwd=Path(__file__).parent.parent,
         )
-        os.close(read)
         while await self.ready() is None:
             assert self.proxy.returncode is None
             await asyncio.sleep(0.02)
@@ -143,9 +144,17 @@
         if self.proxy.returncode is None:
             self.proxy.kill()
             await self.proxy.wait()
+        shutil.rmtree(self.file.parent)
         for party in (self.discovery, *self.nodes):
             party.server.close()
 
+    def reload(self, text: str) -> None:
+        """Puts this into the configuration file's place, and tells the proxy."""
+        new = self.file.with_suffix(".new")
+        new.write_text(text)
+        new.replace(self.file)
+        self.proxy.send_signal(signal.SIGHUP)
+
     async def ready(self) -> bool | None:
         """What the proxy says of itself; None: nobody answers."""
         try:
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -150,6 +150,17 @@
     assert (script.events[-1].status, script.events[-1].finished) == (S.CANCELLED, True)
 
 
+@real
+async def test_a_name_is_open_until_the_last_claim_of_its_request_has_ended() -> None:
+    exchange, _, nodes, answers = bench(SEND)
+    request_id = exchange.submit(Submission(1, 0, 0, 20000.0, "payload", b"r-1"), answers.append)
+    assert exchange.is_open(b"r-1") and not exchange.is_open(b"r-2")
+    exchange.withdraw(request_id)
+    assert exchange.is_open(b"r-1")
+    exchange.claim_ended(nodes.sent[0], S.OK, "answer")
+    assert not exchange.is_open(b"r-1")
+
+
 @real
 async def test_more_than_an_instance_may_hold_is_refused_unseen() -> None:
     exchange, script, _, answers = bench(SEND, **{"bounds.max_open": "1"})
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -58,6 +58,14 @@
     assert [c.name for c in config.settings.classes] == ["look", "pay", "put"]
 
 
+def test_read_anew_the_file_says_where_discovery_is(tmp_path: Path) -> None:
+    told = environ(tmp_path, json.dumps(DOC)) | {"BALANCER_DISCOVERY": "127.0.0.7:7"}
+    assert load(told).discovery == ("127.0.0.7", 7)
+    assert load(told, anew=True).discovery == ("127.0.0.2", 8500)
+    told |= environ(tmp_path, json.dumps(DOC | {"discovery": ""}))
+    assert load(told, anew=True).discovery == ("127.0.0.7", 7)
+
+
 BAD = [
     ("{", "BALANCER_CONFIG"),
     ("[]", "BALANCER_CONFIG"),
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -61,7 +61,12 @@
     (request("pay", body=b"x" * 65537), 413),
     (request("pay", Content_Length="nine"), 400),
     (request("pay", Content_Length="-1"), 400),
+    (request("pay", Content_Length="9" * 5000), 400),
+    (request("pay", Content_Length="4, 5", body=b"four"), 400),
+    (request("pay", body=b"four").replace(b"X-Tenant", b"Content-Length: 5\r\nX-Tenant"), 400),
     (request("pay", Transfer_Encoding="gzip"), 400),
+    # A request in the body of another: passed on, it would be sent twice by whoever reads it otherwise.
+    (request("pay", Transfer_Encoding="chunked", body=b"0\r\n\r\n" + request("pay")), 400),
     (request("look").replace(b"/look/7f3a", b"/elsewhere/1"), 404),
     (request("look").replace(b"/look/7f3a", b"/"), 404),
     (request("look").replace(b"/look/7f3a", b"*"), 404),
@@ -176,6 +181,23 @@
             assert (answer.body if answer else None) == (b"done" if got == Status.OK else None)
 
 
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: " + b"9" * 5000 + b"\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nX-Pad: " + b"p" * 70000,
+        b"HTTP/1.1 OK 200\r\nContent-Length: 4\r\n\r\n",
+    ],
+)
+def test_a_spoilt_reply_is_broken_off_by_its_head(head: bytes) -> None:
+    wire = claims.claim_wire()
+    claims.compose_claim(wire, take(request("pay")).payload, 99.9)
+    with pytest.raises(BrokenReplyError):
+        wire.receive(head)
+
+
 def test_a_claim_says_how_long_the_proxy_will_wait() -> None:
     payload = take(request("pay", 480, b"abc")).payload
     sent = claims.compose_claim(claims.claim_wire(), payload, 99.9)
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -135,6 +135,24 @@
         assert nodes[1].got or nodes[3].got
 
 
+@real
+async def test_an_id_that_is_open_here_is_turned_away_and_reaches_no_node() -> None:
+    release = asyncio.Event()
+
+    async def late(party: Party) -> bytes:
+        await release.wait()
+        return OK
+
+    async with Rig(Party("s1", late)) as rig:
+        first = asyncio.create_task(rig.ask("pay", X_Request_Id="r-1"))
+        while not rig.nodes[0].got:
+            await asyncio.sleep(0.005)
+        assert (await rig.ask("look", X_Request_Id="r-1"))[0] == 400
+        release.set()
+        assert (await first)[0] == 200 and len(rig.nodes[0].got) == 1
+        assert (await rig.ask("look", X_Request_Id="r-1"))[0] == 200  # open no longer
+
+
 # ---- rule 3: drains are kept ------------------------------------------------------------------------------
 
 
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -3,9 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import signal
+import socket
+import time
 
-from rig import OK, Party, Rig, read_message, real, request
+import pytest
+from rig import LIMIT_S, OK, Party, Rig, read_message, real, request
+
+from alderspool.transport.streams import connect, is_quiet
 
 
 @real
@@ -58,3 +64,98 @@
         await asyncio.gather(*submitters)
         assert served.count("close") == 12
         assert await rig.proxy.wait() == 0
+
+
+@real
+async def test_a_reload_moves_to_the_new_discovery_from_its_whole_list_and_loses_nothing() -> None:
+    release = asyncio.Event()
+
+    async def late(party: Party) -> bytes:
+        await release.wait()
+        return OK
+
+    async with Rig(Party("s1", late), Party("s2")) as rig:
+        old, new = rig.nodes
+        moved = Party("discovery-2", lambda party: None if len(party.got) > 1 else whole)
+        doc = json.dumps({"index": 0, "snapshot": True, "endpoints": [new.entry()]}).encode()
+        whole = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(doc), doc)
+        await moved.start()
+        await rig.asked(1)
+        while not old.got:
+            taken = asyncio.create_task(rig.ask(wait=20000))
+            while not (old.got or taken.done()):
+                await asyncio.sleep(0.005)
+        for bad in ("{", json.dumps(rig.config | {"discovery": "nowhere"})):
+            rig.reload(bad)
+            assert await rig.ready() and len(rig.calls) == 1  # the old one holds
+        started = time.monotonic()
+        rig.reload(json.dumps(rig.config | {"discovery": f"127.0.0.1:{moved.port}"}))
+        while len(moved.got) < 2:
+            await asyncio.sleep(0.005)
+        assert time.monotonic() - started < 4.0
+        assert [got[0].split()[1][:22] for got in moved.got] == [b"/v1/endpoints", b"/v1/endpoints?since=0&"]
+        assert [(await rig.ask())[0] for _ in range(6)] == [200] * 6
+        assert len(old.got) == 1  # no longer listed
+        release.set()
+        assert (await taken)[0] == 200
+        rig.proxy.send_signal(signal.SIGTERM)
+        assert await rig.proxy.wait() == 0
+        moved.server.close()
+
+
+@real
+@pytest.mark.parametrize(
+    "sent", [b"", b"POST /pay/1 HTT", request("pay", body=b"abc")[:-1], request() + b"G"]
+)
+async def test_a_submitter_without_a_whole_request_is_let_go_soon_though_it_trickles(sent: bytes) -> None:
+    async with Rig(Party("s1")) as rig:
+        reader, writer = await asyncio.open_connection("127.0.0.1", rig.port)
+        started = time.monotonic()
+        writer.write(sent)
+        done = asyncio.create_task(reader.read(-1))
+        while not done.done():
+            if sent and not sent.endswith(b"b"):
+                writer.write(b"x")
+            await asyncio.sleep(0.1)
+        assert 1.0 < time.monotonic() - started < LIMIT_S / 4  # 3 s are wanted, a slow machine is let pass
+        assert not sent or b"HTTP/1.1 408" in done.result()
+
+
+@real
+async def test_a_flood_of_silent_connections_leaves_the_usual_submitters_theirs() -> None:
+    async with Rig(Party("s1")) as rig:  # it may hold 256 sockets
+        reader, writer = await asyncio.open_connection("127.0.0.1", rig.port)
+        silent = []
+        for _ in range(12):
+            writer.write(request())
+            assert (await reader.readuntil(b"done")).startswith(b"HTTP/1.1 200")
+            silent += [await asyncio.open_connection("127.0.0.1", rig.port) for _ in range(50)]
+        for _, other in silent:
+            other.close()
+
+
+@real
+async def test_a_bad_request_ends_its_connection_and_what_follows_on_it_is_not_read() -> None:
+    async with Rig(Party("s1")) as rig:
+        reader, writer = await asyncio.open_connection("127.0.0.1", rig.port)
+        writer.write(request("look").replace(b"/look/", b"/lock/") + request())
+        assert (await reader.read(-1)).count(b"HTTP/1.1") == 1
+        assert rig.nodes[0].got == []
+        writer.close()
+
+
+@real
+async def test_what_came_in_after_the_last_answer_shows_before_a_connection_is_used_again() -> None:
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        reader, writer = await connect(*server.getsockname())
+        node, _ = server.accept()
+        assert is_quiet(reader, writer)
+        node.send(OK)
+        assert not is_quiet(reader, writer)  # in the system's buffer, the loop has not looked yet
+        while not reader.unread:
+            await asyncio.sleep(0.005)
+        assert not is_quiet(reader, writer)  # in ours
+        assert await reader.read(1000) == OK and is_quiet(reader, writer)
+        node.close()
+        assert not is_quiet(reader, writer)
+        writer.close()
