Do not let a crowd long over keep the concurrency limit low

The bins above 1 had last been sampled seconds before, in a crowd, and at a limit of 1 never would be again: best_x could not reach the stale top, nor was that quick enough to ease. Ruled out: the throttle (passed 1.2 to 1.5), back-off and shut kinds (at most 4 servers), the loop's load (half a core). lynxlift/rules.py, _learn_limit and _note_load: bins last seen over 2 s ago no longer count as the top and are learned anew; latencies are scaled by the server's own speed figure, as four slow nodes made the whole fleet look crowded; while requests are held the limit rises three times as fast, up to half of the aims, each class by its own latency.

--- a/lynxlift/rules.py
+++ b/lynxlift/rules.py
@@ -51,7 +51,11 @@
 LIMIT_START_ALL = 9.0  # and of all that share it, where they do not tell what they hold
 LIMIT_STEP, LIMIT_BINS = 0.5, 24  # bins of in-flight per mean server in which latency is learned
 LIMIT_SAMPLES, LIMIT_MEMORY = 8.0, 60.0  # attempts before a bin tells anything, and averaged over
-LIMIT_EASE = 0.3  # while requests are held, the limit grows if the top bin takes less of the aim than this
+LIMIT_RECENT = 2000.0  # what a bin told longer ago is no reason to hold requests: it is learned anew
+LIMIT_EASE, LIMIT_RISE = (
+    0.5,
+    0.3,
+)  # while requests are held, the limit grows if the top bin takes less of the aim than this
 LIMIT_POWER = 1.5  # the limit is where in-flight / latency^this peaks: past the knee, before the crowd
 # A class is long if even a quick one takes the first share of the aim of a class with this share of requests.
 PART_FACTOR, PART_SHARE = 0.75, 0.1
@@ -135,12 +139,12 @@
         self.servers: dict[api.ServerId, Server] = {}
         self.ready = list[Server]()  # the ready servers that this instance uses
         self.listed = self.bad = self.watch_failures = 0
-        n, self.least_aim = len(settings.classes), min(c.aim_ms for c in settings.classes)
+        n, least_aim = len(settings.classes), min(c.aim_ms for c in settings.classes)
         self.hinted, self.mean_hint = n == 1, 0.0  # one class: the cost hint splits it in two
         self.groups = 2 if self.hinted else n
         self.alike = [0.0] * n  # share of requests in calm times that have about as much
         self.first_try = [0.0] * n  # the longest time a client of the class gives one try
-        self.mix = [MIX_PRIOR * self.least_aim / c.aim_ms for c in settings.classes] + [1e-6] * self.hinted
+        self.mix = [MIX_PRIOR * least_aim / c.aim_ms for c in settings.classes] + [1e-6] * self.hinted
         self.usual = [c.aim_ms / 4.0 for c in settings.classes] * (2 if self.hinted else 1)
         self.quick = [u / 2.0 for u in self.usual]  # latency with hardly any wait
         self.long = [False] * self.groups  # classes kept apart
@@ -150,6 +154,7 @@
         self.born, self.refreshed = 0.0, -inf
         self.mean_size, self.carried = 1.0, 0.0  # work per ms and size that warm servers are seen to do
         self.bin_n, self.bin_lat = [0.0] * LIMIT_BINS, [0.0] * LIMIT_BINS
+        self.bin_at = [0.0] * LIMIT_BINS  # when last seen
         self.knee, self.others = LIMIT_START, 0.0  # in-flight of siblings at a mean server, if not told
         self.doubted = False  # most servers look bad: the judgement is doubted, not the fleet
         self.jobs: dict[int, Job] = {}
@@ -357,7 +362,10 @@
         """Median latency by in-flight (a pause must not look like a crowd); failures count as slow."""
         i = max(int((load + 1) * self.mean_size / (s.size * LIMIT_STEP) + 0.5) - 1, 0)
         if i < LIMIT_BINS and s.rate == inf:  # a cold server is slow at any load
-            took *= self.mean_usual / self.usual[group]
+            took *= self.mean_usual / self.usual[group] * s.speed  # a slow server is slow at any load too
+            if self.now - self.bin_at[i] > LIMIT_RECENT:
+                self.bin_n[i] = 0.0
+            self.bin_at[i] = self.now
             n = self.bin_n[i] = min(self.bin_n[i] + 1.0, LIMIT_MEMORY)
             if n <= 1.0:
                 self.bin_lat[i] = min(took, 2.0 * self.mean_usual)
@@ -373,17 +381,21 @@
         for i in range(LIMIT_BINS):
             if self.bin_n[i] < LIMIT_SAMPLES:
                 continue
-            top = (i + 1) * LIMIT_STEP
-            lat = self.bin_lat[i]
-            power = (top + self.others) / lat**LIMIT_POWER
+            x, took = (i + 1) * LIMIT_STEP, self.bin_lat[i]
+            if self.now - self.bin_at[i] <= LIMIT_RECENT:  # else a crowd long over would keep us low for good
+                top, lat = x, took
+            power = (x + self.others) / took**LIMIT_POWER
             if power > best:
-                best, best_x = power, top
+                best, best_x = power, x
         # Requests held while more is not seen to harm: go on. Where siblings do not tell, latency by our own
         # part of the load is a weak sign; there the top answered well within the aim is enough.
-        if self.waiting and (best_x >= top or not self.telling and lat < LIMIT_EASE * self.least_aim):
-            best_x = max(top, self.knee) + LIMIT_STEP
+        aims = (c.aim_ms / u for c, u in zip(self.cfg.classes, self.usual, strict=False))
+        ease = LIMIT_EASE * min(aims) * self.mean_usual
+        rise = 0.1
+        if self.waiting and (best_x >= top or not self.telling and lat < ease):
+            best_x, rise = max(top, self.knee) + LIMIT_STEP, LIMIT_RISE
         if best_x > 0.0:
-            self.knee += (max(best_x, 1.0) - self.knee) * 0.1
+            self.knee += (max(best_x, 1.0) - self.knee) * rise
 
     def _pick(self, job: Job) -> Server | None:
         """The next server of the rotation for this request; None: hold it."""
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -906,3 +906,31 @@
     d.outcome(d.next_id, 0, send.server)
     d.now += 800.0
     assert not [a for a in d.request() if isinstance(a, api.CloseIdle)]
+
+
+def test_a_crowd_long_over_does_not_keep_the_limit_low_while_requests_are_held() -> None:
+    d = Driver(siblings=2)
+    d.servers(1)
+    d.lb.knee = 1.0
+    for i, took in ((1, 20.0), (3, 150.0)):  # one at a time was quick, two at a time were slow: long ago
+        d.lb.bin_n[i], d.lb.bin_lat[i], d.lb.bin_at[i] = 60.0, took, d.now - 5000.0
+    out, most = [], 0
+    for _ in range(100):
+        out += sends(d.request()) + sends(d.request())
+        most = max(most, len(out))
+        d.now += 10.0
+        send = out.pop(0)
+        out += sends(d.outcome(send.id, 0, send.server))
+    assert most > 1
+
+
+def test_a_slow_server_tells_nothing_of_the_load_that_the_others_can_hold() -> None:
+    seen = []
+    for speed in (1.0, 0.1):
+        d = Driver(siblings=2)
+        d.servers(1)
+        (s,) = d.lb.servers.values()
+        s.speed = speed
+        d.lb._note_load(s, 0, 5.0 / speed, 0)
+        seen.append(max(d.lb.bin_lat))
+    assert seen[0] == seen[1]
