--- a/alderspool/protocol/http_client.py
+++ b/alderspool/protocol/http_client.py
@@ -5,9 +5,11 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-import h11
+import httptools
 
-Headers = Iterable[tuple[bytes, bytes]]
+from alderspool.protocol.http_parts import HttpParts
+
+MOST_INTERIM = 8  # 1xx answers in front of a reply; without end they would hold its connection for ever
 
 
 class BrokenReplyError(Exception):
@@ -21,63 +23,60 @@
     body: bytes
 
 
-class ClientWire:
+class ClientWire(HttpParts):
     def __init__(self, body_limit: int) -> None:
-        self._limit = body_limit
-        self._h11 = h11.Connection(h11.CLIENT)
-        self._head: h11.Response | None = None
-        self._body: list[bytes] = []
-        self._size = 0
+        super().__init__(body_limit)
+        self._parser = httptools.HttpResponseParser(self)
+        self._reply: Reply | None = None
+        self._interim = 0
+        self._status = 0
+        self._asked = False  # a request is out
+        self.reusable = True  # whether another request may follow on this connection
 
-    def compose(self, method: bytes, target: bytes, headers: Headers, body: bytes = b"") -> bytes:
+    def compose(
+        self, method: bytes, target: bytes, headers: Iterable[tuple[bytes, bytes]], body: bytes = b""
+    ) -> bytes:
         """The bytes of a request, whole."""
-        if self._h11.our_state is h11.DONE:
-            self._h11.start_next_cycle()
-        fields = list(headers)
+        self._asked, self._interim = True, 0
+        lines = [b"%b %b HTTP/1.1\r\n" % (method, target)]
+        lines += [b"%b: %b\r\n" % field for field in headers]
         if body or method != b"GET":
-            fields.append((b"Content-Length", b"%d" % len(body)))
-        out = self._h11.send(h11.Request(method=method, target=target, headers=fields))
-        if body:
-            out += self._h11.send(h11.Data(data=body))
-        return out + (self._h11.send(h11.EndOfMessage()) or b"")
+            lines.append(b"Content-Length: %d\r\n" % len(body))
+        return b"%b\r\n%b" % (b"".join(lines), body)
 
     def receive(self, data: bytes) -> Reply | None:
         """The reply once it is whole; b"" says that the connection has ended."""
+        if not data:
+            raise BrokenReplyError("the connection ended")
         try:
-            self._h11.receive_data(data)
-            while True:
-                event = self._h11.next_event()
-                kind = type(event)
-                if kind is h11.Response:
-                    self._head, self._body, self._size = event, [], 0
-                    stated = {
-                        n: v for n, v in event.headers if n in (b"content-length", b"transfer-encoding")
-                    }
-                    if len(stated) != 1:
-                        # None: its end could not be told from a break, and half an answer must not pass
-                        # as one. Both: they contradict each other, and so would whoever reads it.
-                        raise BrokenReplyError("a body without a stated length, or with two")
-                    if int(stated.get(b"content-length", 0)) > self._limit:  # it need not come to be too long
-                        raise BrokenReplyError("a body over the limit")
-                elif kind is h11.Data:
-                    self._size += len(event.data)
-                    if self._size > self._limit:  # an endless body would fill the memory
-                        raise BrokenReplyError("a body over the limit")
-                    self._body.append(bytes(event.data))
-                elif kind is h11.EndOfMessage:
-                    head = self._head
-                    return Reply(head.status_code, dict(head.headers), b"".join(self._body))
-                elif event is h11.NEED_DATA:
-                    if not data:
-                        raise BrokenReplyError("the connection ended")
-                    return None
-                elif event is h11.PAUSED or kind is h11.ConnectionClosed:
-                    raise BrokenReplyError("the connection ended or holds more than was asked for")
-        except h11.RemoteProtocolError as fault:
-            raise BrokenReplyError(str(fault)) from None
-
-    @property
-    def reusable(self) -> bool:
-        """Whether another request may follow on this connection."""
-        done = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
-        return done and not self._h11.trailing_data[0]
+            self.feed(self._parser, data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as fault:
+            self.reusable = False
+            if self._reply is None:
+                raise BrokenReplyError(str(fault)) from None
+        if self._reply is None and self.fault is not None:
+            raise BrokenReplyError(self.fault[1])
+        reply, self._reply = self._reply, None
+        return reply
+
+    def on_message_begin(self) -> None:
+        if not self._asked:  # a second copy of the reply, or what else nobody asked for
+            self.reusable = False
+        super().on_message_begin()
+
+    def head_done(self) -> None:
+        self._status = self._parser.get_status_code()
+        if self._status < 200:
+            self._interim += 1
+            if self._interim > MOST_INTERIM:
+                self.fault = (502, "interim answers without end")
+        elif not any(n in (b"content-length", b"transfer-encoding") for n, _ in self.headers):
+            # Its end could not be told from a break: half an answer must not pass as one.
+            self.fault = (502, "a body without a stated length")
+        elif not self._parser.should_keep_alive():
+            self.reusable = False
+
+    def message_done(self) -> None:
+        if self._asked and self._status >= 200 and self.fault is None:
+            self._asked = False
+            self._reply = Reply(self._status, dict(self.headers), self.body)
--- a/alderspool/protocol/submitters.py
+++ b/alderspool/protocol/submitters.py
@@ -2,19 +2,20 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass, field
 from hashlib import blake2b
 
-import h11
+import httptools
 import msgspec
 
 from alderspool.protocol.claims import BODY_LIMIT, HOP_BY_HOP, ExecuteNodeAnswer, ForwardRequest
+from alderspool.protocol.http_parts import HttpParts
 from alderspool.protocol.machine_list import as_setting
 from alderspool.routing.messages import Failed, FinalAnswer, RequeueNotice, Served, Submission
 from lynxlift.interface import Effect, Settings
 
 LONGEST_WAIT_MS = 3_600_000
-HEAD_LIMIT = 16 * 1024
 _REASONS = {
     200: b"OK",
     400: b"Bad Request",
@@ -37,6 +38,7 @@
     target: bytes
     headers: list[tuple[bytes, bytes]]
     body: bytes
+    keep: bool = True  # the submitter goes on using the connection
 
 
 @dataclass(slots=True)
@@ -147,102 +149,90 @@
     return hint if 0.0 < hint < 1e9 else 0.0
 
 
-class SubmitterWire:
+class SubmitterWire(HttpParts):
     """One submitter's connection: bytes in, whole requests out; answers in, bytes out."""
 
     def __init__(self) -> None:
-        self._h11 = h11.Connection(h11.SERVER)
-        self._head: h11.Request | None = None
-        self._body: list[bytes] = []
-        self._size = 0
-        self._broken = False
+        super().__init__(BODY_LIMIT)
+        self._parser = httptools.HttpRequestParser(self)
+        self._whole: deque[RawRequest] = deque()  # read, not yet taken
+        self._taken: RawRequest | None = None  # its answer is owed
+        self._awaits_go_on = self._broken = False
 
     def receive(self, data: bytes) -> None:
-        try:
-            self._h11.receive_data(data)
-        except RuntimeError:  # bytes after the end: h11 takes none, and there is nobody to answer
-            self._broken = True
+        while data and self.fault is None:
+            try:
+                return self.feed(self._parser, data)
+            except httptools.HttpParserUpgrade as pause:
+                # It would speak another protocol from here on. We go on in this one, as a server may.
+                data = data[int(pause.args[0]) :]
+                self._parser = httptools.HttpRequestParser(self)
+            except httptools.HttpParserError as fault:
+                self.fault = (400, str(fault))
+
+    def head_done(self) -> None:
+        seen = {name for name, _ in self.headers}
+        version = self._parser.get_http_version()
+        if version not in ("1.0", "1.1") or version == "1.1" and b"host" not in seen:
+            self.fault = self.fault or (400, "no HTTP/1.1, or without Host")
+        self._awaits_go_on = b"expect" in seen and (b"expect", b"100-continue") in self.headers
+
+    def message_done(self) -> None:
+        if self.fault is None:
+            method = self._parser.get_method()
+            keep = self._parser.should_keep_alive() and self._parser.get_http_version() == "1.1"
+            self._whole.append(RawRequest(method, self.target, self.headers, self.body, keep))
+        self._awaits_go_on = False
 
     def next(self) -> RawRequest | Rejection | str:
         """What came next; NEED_DATA, PAUSED (another request is still out), CONTINUE or ENDED."""
-        if self._broken:
-            return ENDED
-        try:
-            while True:
-                event = self._h11.next_event()
-                kind = type(event)
-                if kind is h11.Request:
-                    self._head, self._body, self._size = event, [], 0
-                    if _states_both(event):
-                        # Whoever goes by the other one sees a second request in this one's body.
-                        return self._break_off(400, "Content-Length and Transfer-Encoding")
-                    if _stated_length(event) > BODY_LIMIT:  # no need to wait for all of it
-                        return self._break_off(413, "body over 64 KiB")
-                    if sum(len(n) + len(v) for n, v in event.headers) + len(event.target) > HEAD_LIMIT:
-                        # h11 bounds only a head that comes in pieces; a large one would go on to a node.
-                        return self._break_off(431, "head over 16 KiB")
-                    if self._h11.they_are_waiting_for_100_continue:
-                        return CONTINUE
-                elif kind is h11.Data:
-                    self._size += len(event.data)
-                    if self._size > BODY_LIMIT:  # buffered whole: an endless body would fill the memory
-                        return self._break_off(413, "body over 64 KiB")
-                    self._body.append(bytes(event.data))
-                elif kind is h11.EndOfMessage:
-                    head = self._head
-                    return RawRequest(head.method, head.target, list(head.headers), b"".join(self._body))
-                elif event is h11.NEED_DATA:
-                    return NEED_DATA
-                elif event is h11.PAUSED:
-                    return PAUSED
-                else:
-                    return ENDED
-        except h11.RemoteProtocolError as fault:
-            return self._break_off(fault.error_status_hint, str(fault))
-
-    def _break_off(self, status: int, why: str) -> Rejection | str:
-        self._broken = True
-        if self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-            return ENDED  # its answer is already out
-        return Rejection(status if status in _REASONS else 400, why)
+        if self._whole:
+            if self._taken is not None:
+                return PAUSED
+            self._taken = self._whole.popleft()
+            return self._taken
+        if self.fault is not None:
+            if self._broken:
+                return ENDED
+            if self._taken is not None:
+                return PAUSED
+            self._broken = True
+            return Rejection(*self.fault)
+        if self._awaits_go_on and not self._parts and self._taken is None:
+            return CONTINUE
+        return NEED_DATA
 
     @property
     def idle(self) -> bool:
         """Whether nothing of a request has come since the last answer."""
-        return self._h11.their_state is h11.IDLE and not self._h11.trailing_data[0]
+        return not (self.begun or self._whole or self._taken or self.fault)
 
     def too_slow(self) -> Rejection | None:
         """For a request of which a part is still missing after too long."""
-        step = self._break_off(408, "request not whole in time")
-        return step if isinstance(step, Rejection) else None
+        if self._taken is not None or self._broken:
+            return None
+        self.fault, self._broken = (408, "request not whole in time"), True
+        return Rejection(*self.fault)
 
     def go_on(self) -> bytes:
         """The interim answer to `Expect: 100-continue`."""
-        return self._h11.send(h11.InformationalResponse(status_code=100, headers=[])) or b""
+        self._awaits_go_on = False
+        return b"HTTP/1.1 100 Continue\r\n\r\n"
 
     def compose(
         self, status: int, body: bytes, headers: list[tuple[bytes, bytes]], close: bool
     ) -> tuple[bytes, bool]:
         """An answer's bytes, and whether the connection ends with it."""
-        fields = [*headers, (b"Content-Length", b"%d" % len(body))]
-        if close or self._broken:
-            fields.append((b"Connection", b"close"))
-        head = h11.Response(status_code=status, headers=fields, reason=_REASONS.get(status, b""))
-        out = (self._h11.send(head) or b"") + (self._h11.send(h11.Data(data=body)) or b"")
-        out += self._h11.send(h11.EndOfMessage()) or b""
-        if self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
-            self._h11.start_next_cycle()
-            return out, False
-        return out, True
-
-
-def _states_both(head: h11.Request) -> bool:
-    names = {name for name, _ in head.headers}
-    return b"content-length" in names and b"transfer-encoding" in names
-
-
-def _stated_length(head: h11.Request) -> int:
-    return int(next((value for name, value in head.headers if name == b"content-length"), 0))
+        taken, self._taken = self._taken, None
+        close = close or self.fault is not None or taken is None or not taken.keep
+        lines = [b"HTTP/1.1 %d %b\r\n" % (status, _REASONS.get(status, b""))]
+        lines += [b"%b: %b\r\n" % field for field in headers]
+        lines.append(b"Content-Length: %d\r\n" % len(body))
+        if close:
+            lines.append(b"Connection: close\r\n")
+        if taken is not None and taken.method == b"HEAD":  # to HEAD goes the head alone
+            body = b""
+        return b"%b\r\n%b" % (b"".join(lines), body), close
 
 
 def as_http(answer: FinalAnswer) -> tuple[int, bytes, list[tuple[bytes, bytes]]]:
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -46,6 +46,20 @@
     assert not {b"x-deadline-ms", b"content-length"} & {name for name, _ in got.payload.headers}
 
 
+def test_only_the_head_and_the_body_of_a_request_are_read() -> None:
+    """Not what stands in trailers, and not the wish to go on in another protocol."""
+    body = b"".join(b"1;x=y\r\n%c\r\n" % c for c in b"four") + b"0\r\nX-Class: look\r\nX-Evil: 1\r\n\r\n"
+    sent = request("pay", Content_Length=None, Transfer_Encoding="chunked", body=body)
+    got = take(sent)
+    assert isinstance(got, Submission) and got.payload.body == b"four"
+    assert b"x-evil" not in dict(got.payload.headers)
+    wire = SubmitterWire()
+    wire.receive(request("look", Connection="Upgrade, HTTP2-Settings", Upgrade="h2c") + request("pay"))
+    assert isinstance(READER.read(wire.next()), Submission)
+    wire.compose(200, b"", [], close=False)
+    assert wire.next().method == b"POST"
+
+
 def test_the_key_is_stable_and_never_zero() -> None:
     one, two = take(request("look")), take(request("pay"))
     assert one.key == two.key == 1734263071609238019
@@ -57,6 +71,12 @@
     (b"\x00\x16\x03\x01\r\n\r\n", 400),
     (b"GET /look/1 HTTP/1.1\r\n\r\n", 400),
     (b"GET /look/1 HTTP/9.9\r\nHost: x\r\n\r\n", 400),
+    (b"GET /look/1 HTTP/2.0\r\nHost: x\r\n\r\n", 400),
+    (b"\r\n" * 40000, 431),
+    (request("look", X_A="b\r\n folded"), 400),
+    (request("look").replace(b"\r\n", b"\n"), 400),
+    (request("pay", Transfer_Encoding="chunked", Content_Length=None, body=b"4\r\nabcd\r\nzz\r\n"), 400),
+    (request("pay", Transfer_Encoding="chunked", Content_Length=None, body=b"1\r\na\r\n" * 70000), 413),
     (request("look", X_A="b" * 70000), 431),
     (request("pay", body=b"x" * 65537), 413),
     (request("pay", Content_Length="nine"), 400),
@@ -189,6 +209,10 @@
         b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n",
         b"HTTP/1.1 200 OK\r\nX-Pad: " + b"p" * 70000,
         b"HTTP/1.1 OK 200\r\nContent-Length: 4\r\n\r\n",
+        b"HTTP/1.1 2 OK\r\nContent-Length: 4\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\n" + b"X-Pad: p\r\n" * 6000,
+        b"HTTP/1.1 103 Early Hints\r\n\r\n" * 100,
     ],
 )
 def test_a_spoilt_reply_is_broken_off_by_its_head(head: bytes) -> None:
@@ -198,6 +222,13 @@
         wire.receive(head)
 
 
+@pytest.mark.parametrize("more", [b"", OK, b"noise", b"HT"])
+def test_what_follows_a_reply_leaves_it_good_and_its_connection_useless(more: bytes) -> None:
+    wire = claims.claim_wire()
+    claims.compose_claim(wire, take(request("pay")).payload, 99.9)
+    assert wire.receive(OK + more).body == b"done" and wire.reusable is not bool(more)
+
+
 def test_a_claim_says_how_long_the_proxy_will_wait() -> None:
     payload = take(request("pay", 480, b"abc")).payload
     sent = claims.compose_claim(claims.claim_wire(), payload, 99.9)
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -105,7 +105,7 @@
 
 @real
 @pytest.mark.parametrize(
-    "sent", [b"", b"POST /pay/1 HTT", request("pay", body=b"abc")[:-1], request() + b"G"]
+    "sent", [b"", b"POST /pay/1", request("pay", body=b"abc")[:-1], request() + b"GET /"]
 )
 async def test_a_submitter_without_a_whole_request_is_let_go_soon_though_it_trickles(sent: bytes) -> None:
     async with Rig(Party("s1")) as rig:
