Let attempts that were passed over by four later ones hold no place

Ruled out: CPU (0.33 s in a second), memory, descriptors, connections refused (none). lynxlift/rules.py: a server counts how many attempts sent later were answered, for each open one; from the fourth on the attempt no longer counts against its limit or turn.

--- a/lynxlift/rules.py
+++ b/lynxlift/rules.py
@@ -31,6 +31,9 @@
 ZONE_WEIGHT = 10.0  # servers of other zones have their weight lowered by this multiple of the crossing price
 TURN_SLACK = 1.3  # a server holding more than this multiple of its share (and one more) passes its turn
 STALL_FACTOR = 2.5  # no answer for this many usual latencies with work open: stalled, passes its turn
+PASSED_OVER = (
+    4  # with so many answered that were sent later, an attempt is lost and holds no place any longer
+)
 FAIR_TIME = 2.5  # a time-out counts against its server from this many usual latencies on
 BACKOFF_MAX = 4000.0  # a wait after failures in a row is never longer, so that recovery is noticed
 BAD_AFTER = 3  # failures in a row after which a server counts as bad
@@ -95,6 +98,8 @@
         self.for_long, self.turn = False, 0  # in the part that long work keeps to; place in its order
         self.limit = self.own = 1  # what all may hold here, and we whatever our peers hold
         self.inflight = self.peer_sum = 0  # our open attempts; those of all peers
+        self.sent = self.lost = 0  # attempts so far; open ones that were passed over, see PASSED_OVER
+        self.out: dict[int, int] = {}  # for each open one how many were answered that were sent later
         self.peers: dict[int, int] = {}  # what each peer that uses this server says it has open here
         self.fails = self.conns = 0  # in a row; connections that we should have open here
         self.flows: dict[Flow, tuple[int, float, int]] = {}  # failures, shut until, first seen with
@@ -122,7 +127,8 @@
         self.rank = 0  # place among the held: 0 in time, 1 over its tenant's share, 2 late
         self.deadline = now + request.time_left_ms
         self.end = self.deadline - TICK - 2 * quantum  # the last moment for a final answer of our own
-        self.tries: list[tuple[Server, float, int, float] | None] = []  # sent at, load, idle; None: ended
+        # Server, sent at, load, idle, place among those sent there; None: ended.
+        self.tries: list[tuple[Server, float, int, float, int] | None] = []
         self.used: list[api.ServerId] = []
         self.open, self.finished = 0, False
         self.line: Line | None = None  # where order is kept: that of its key
@@ -413,7 +419,8 @@
         bound = job.ran or job.open > 0  # a guarded request that may have run stays inside its group
         for s in self.ready:
             weight = s.weight
-            if weight <= 0.0 or s.inflight + s.peer_sum >= s.limit and s.inflight >= s.own:
+            held = s.inflight - s.lost  # a server that swallows some of its work is not full of it
+            if weight <= 0.0 or held + s.peer_sum >= s.limit and held >= s.own:
                 continue
             if apart and s.for_long != long or s.blocked_until > now or s.tokens < least and s.rate < inf:
                 continue
@@ -427,7 +434,7 @@
                     spare, spare_credit = s, credit - SHUT_BEHIND
                 continue
             # Holds far more than its share, or needs a new connection where these often fail: passes a turn.
-            if s.inflight > 1.0 + s.frac * total_open or dear and s.inflight >= s.conns:
+            if held > 1.0 + s.frac * total_open or dear and s.inflight >= s.conns:
                 if credit > spare_credit:
                     spare, spare_credit = s, credit
                 continue
@@ -484,7 +491,9 @@
         if idle > self.idle_trust and self.unconnected < CONNECTS_FINE:
             self.out.append(api.CloseIdle(s.id))  # may have been dropped unseen: a new one
             idle = 0.0
-        job.tries.append((s, now, s.inflight + s.peer_sum, idle))
+        s.sent += 1
+        s.out[s.sent] = 0
+        job.tries.append((s, now, s.inflight - s.lost + s.peer_sum, idle, s.sent))
         job.open += 1
         job.used.append(s.id)
         if not s.inflight:
@@ -507,8 +516,14 @@
         job = self.jobs.get(event.id)
         if job is None or event.attempt >= len(job.tries) or job.tries[event.attempt] is None:
             return None  # not held, or told twice
-        s, sent, load, idle = job.tries[event.attempt]
+        s, sent, load, idle, place = job.tries[event.attempt]
         job.tries[event.attempt] = None
+        s.lost -= s.out.pop(place) >= PASSED_OVER
+        if event.status == OK:
+            for earlier in s.out:
+                if earlier < place:
+                    s.out[earlier] += 1
+                    s.lost += s.out[earlier] == PASSED_OVER
         group, now, status = job.group, self.now, event.status
         took = now - sent
         if job.line is not None and status in (TIMEOUT, RESET, CANCELLED):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -934,3 +934,21 @@
         d.lb._note_load(s, 0, 5.0 / speed, 0)
         seen.append(max(d.lb.bin_lat))
     assert seen[0] == seen[1]
+
+
+def test_an_attempt_passed_over_by_four_later_ones_holds_no_place_any_longer() -> None:
+    d = Driver([UNSAFE])
+    d.servers(1)
+    (s,) = d.lb.servers.values()
+    s.limit = s.own = 2
+    d.lb.refreshed = 1e12  # the limit stays
+    assert len(sends(d.request())) == 1  # swallowed
+    for _ in range(4):
+        assert s.lost == 0
+        (send,) = sends(d.request())
+        d.now += 5.0
+        d.outcome(send.id, 0, send.server)
+    assert (s.inflight, s.lost) == (1, 1)
+    assert [len(sends(d.request())) for _ in range(3)] == [1, 1, 0]  # both places are free
+    d.outcome(1, 0, s.id, S.TIMEOUT)
+    assert (s.inflight, s.lost, len(s.out)) == (2, 0, 2)
