End connections with their answers where many submitters ask once and stay

A capture: 3,273 of some 3,500 connections brought one request and then stayed; each ended only when we closed it, 2.1 to 2.4 s later. Clients hold no more than a third of the descriptors, so no new request found a connection. Ruled out: the module, CPU (0.63 s at most), failed accepts (no warning logged). transport/listener.py: with more than a third of the submitters' part held by connections that have asked, answers say Connection: close, as in a drain.

--- a/alderspool/transport/budget.py
+++ b/alderspool/transport/budget.py
@@ -6,6 +6,7 @@
 
 SPARE = 48  # listener, event loop, discovery, standard streams, and what is just being closed
 SUBMITTERS_SHARE = 0.6  # of the rest; requests hold no more than a third of the limit
+KEPT_SHARE = 0.33  # of the submitters' part: with more that have asked, an answer ends its connection
 
 
 class DescriptorBudget:
@@ -29,6 +30,9 @@
         """`let_go` closes something idle and says whether there was any."""
         self._let_go = let_go
 
+    def share(self, part: float) -> int:
+        return int(self._limit * part)
+
     @property
     def tight(self) -> bool:
         return self.held >= self._limit or self._whole is not None and self._whole.tight
--- a/alderspool/transport/listener.py
+++ b/alderspool/transport/listener.py
@@ -23,7 +23,7 @@
 )
 from alderspool.routing.exchange import Exchange
 from alderspool.routing.messages import FinalAnswer
-from alderspool.transport.budget import DescriptorBudget
+from alderspool.transport.budget import KEPT_SHARE, DescriptorBudget
 from alderspool.transport.streams import READ_SIZE, CountingReader, bound_reads, is_quiet
 
 BACKLOG = 1024
@@ -45,6 +45,7 @@
         self.wire = SubmitterWire()
         self.request_id = 0  # in the exchange; 0: none
         self.busy = False  # a request of it is out
+        self.asked = False  # it has sent a request that was taken
         self.served = False  # it has had an answer, so it is no mere connection
         self.answered = asyncio.Event()
         self.since = listener.loop.time()  # see PATIENCE_S
@@ -56,7 +57,7 @@
 
     def send(self, status: int, body: bytes, headers: list[tuple[bytes, bytes]], last: bool = False) -> None:
         """`last`: what follows on this connection is not read."""
-        close = last or self._listener.draining
+        close = last or self._listener.draining or self._listener.crowded
         self.since, self.served = self._listener.loop.time(), True
         if self.writer.transport.is_closing():
             return
@@ -101,6 +102,7 @@
         self._links: dict[SubmitterLink, None] = {}  # the oldest first
         self._socket: socket.socket | None = None
         self._accepting: asyncio.Task[None] | None = None
+        self._asked, self._kept = 0, budget.share(KEPT_SHARE)  # links that have asked; how many are kept
         self.draining = self._warned = False
         budget.on_tight(self._drop_one)
 
@@ -116,6 +118,12 @@
         self._accepting = self.loop.create_task(self._accept())
         self._sweep()
 
+    @property
+    def crowded(self) -> bool:
+        """Where many ask once and stay, their idle connections would keep new submitters out for as long
+        as our patience lasts. Whoever has not asked yet does not count: a flood changes nothing here."""
+        return self._asked > self._kept
+
     # ---- the end -------------------------------------------------------------------------------
 
     def drain(self) -> None:
@@ -177,6 +185,7 @@
             self._warn(f"a submitter's connection failed: {fault!r}")
         finally:
             self._links.pop(link, None)
+            self._asked -= link.asked
             if link.busy:
                 link.busy = False
                 self._exchange.withdraw(link.request_id)
@@ -222,7 +231,8 @@
         elif self._exchange.is_open(request.name):
             return Rejection(400, "X-Request-Id: that of a request which is still open")
         else:
-            link.busy = True
+            self._asked += not link.asked
+            link.asked = link.busy = True
             request_id = self._exchange.submit(request, link.answer)
             link.request_id = request_id if link.busy else 0
         return None
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -134,6 +134,22 @@
             other.close()
 
 
+@real
+async def test_those_who_ask_once_and_stay_do_not_keep_others_out() -> None:
+    async with Rig(Party("s1")) as rig:  # it may hold 256 sockets
+        kept, ended = [], 0
+        for _ in range(80):
+            reader, writer = await asyncio.open_connection("127.0.0.1", rig.port)
+            kept.append(writer)
+            writer.write(request())
+            _, headers, body = await read_message(reader)
+            assert body == b"done"
+            ended += headers.get("connection") == "close"
+        assert ended > 20
+        for writer in kept:
+            writer.close()
+
+
 @real
 async def test_a_bad_request_ends_its_connection_and_what_follows_on_it_is_not_read() -> None:
     async with Rig(Party("s1")) as rig:
