--- a/lynxlift/rules.py
+++ b/lynxlift/rules.py
@@ -9,7 +9,6 @@
 
 from collections import deque
 from heapq import heappop, heappush
-from itertools import zip_longest
 from math import exp, inf
 from random import Random
 
@@ -230,20 +229,24 @@
         self._pump()
 
     def _subset(self) -> None:
-        """A window of the list by id, half in the own zone: where many meet many, each would know nothing of
-        any, its connections would idle. Windows start evenly spread; failing servers do not fill them."""
-        rings: tuple[list[Server], list[Server]] = [], []
-        ranks: dict[int, int] = {}
+        """A window of the list by id: where many meet many, each would know nothing of any, its connections
+        would idle. Windows start evenly spread; failing servers do not fill them."""
+        zones: dict[int, list[Server]] = {}
         for s in sorted(self.servers.values(), key=lambda s: s.id):
-            rank = ranks[s.zone] = ranks.get(s.zone, -1) + 1
-            s.turn = int(f"{rank:016b}"[::-1], 2)  # neighbours far apart: every window has its part
-            rings[s.zone != self.cfg.zone].append(s)
-        for ring in rings:
-            start = int(self.cfg.number * GOLDEN % 1.0 * len(ring))
-            ring[:] = [s for s in ring[start:] + ring[:start] if s.ready]
-        first, self.ready, self.listed = not self.listed, [], len(rings[0]) + len(rings[1])
+            zone = zones.setdefault(s.zone, [])
+            s.turn = int(f"{len(zone):016b}"[::-1], 2)  # neighbours far apart: every window has its part
+            zone.append(s)
+        # Zones in proportion, and only what is ready: with half a window from each, or with gaps where some
+        # have gone, the few of a small zone and those behind a gap would bear a multiple of the others' load.
+        places: list[tuple[float, Server]] = []
+        for zone in zones.values():
+            up = [s for s in zone if s.ready]
+            places += [((rank + 0.5) / len(up), s) for rank, s in enumerate(up)]
+        ring = [s for _, s in sorted(places, key=lambda place: (place[0], place[1].zone))]
+        start = int(self.cfg.number * GOLDEN % 1.0 * len(ring))
+        first, self.ready, self.listed = not self.listed, [], len(ring)
         room = room_for = max(SUBSET, SUBSET_COVER * self.listed / self.cfg.siblings)
-        for s in (s for pair in zip_longest(*rings) for s in pair if s):
+        for s in ring[start:] + ring[:start]:
             if room > 0.0:
                 self.ready.append(s)
                 room -= 1.0 if s.fails < BAD_AFTER else 0.0
