--- a/lynxlift/rules.py
+++ b/lynxlift/rules.py
@@ -41,8 +41,10 @@
 DOUBTED_DOUBLINGS = 2  # while the judgement is doubted the wait stays short, unless a server says full
 PANIC_SHARE = 0.5  # with more of the fleet than this judged bad, the judgement is doubted, not the fleet
 RETRY_EARN, RETRY_BANK = 0.2, 20.0  # retry budget: earned by each request, kept at most
-HEDGE_FACTOR = 1.6  # a second copy goes out after this many usual latencies
-BUDGET_SHARE = 1.2  # cold servers get this multiple of their stated share of what warm ones do
+HEDGE_FACTOR = 3.0  # a second copy goes out after this many usual latencies; sooner it hits what is just long
+# Cold servers get this multiple of their stated share of what warm ones do: that share is the least they can
+# do, and whoever holds back leaves all of it to the warm ones.
+BUDGET_SHARE = 2.0
 BUDGET_MULTIPLE = 0.6  # but no more than this share of the multiple that tips them: windows cover unevenly
 MIX_PRIOR = 30.0  # requests that the first mix counts for; equal counts would give the long nearly all
 # A loss on a connection idle for over the first sets the time trusted to this share; it regrows by the third.
--- a/tests/fleet_model.py
+++ b/tests/fleet_model.py
@@ -109,6 +109,7 @@
         proxies: int = 2,
         only: int | None = None,
         flood: float = 1.0,
+        **settings: object,
     ) -> None:
         self.random = Random(seed)
         self.now = self.start = 1_000_000.0
@@ -134,6 +135,7 @@
             cold_ms=COLD_MS,
             cold_from=COLD,
             answer_slack_ms=SLACK,
+            **settings,
         )
         self.left: set[int] = set()  # seconds in which an attempt left
         self.able: set[int] = set()  # seconds throughout which a listed node answered
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -7,6 +7,7 @@
 
 import pytest
 from conftest import Driver
+from fleet_model import COLD, CORES, Attempt, Fleet
 
 from lynxlift import interface as api
 
@@ -67,3 +68,54 @@
         )
     kept = sum(len(b & {s.id for s in d.lb.ready}) for b, d in zip(before, drivers, strict=True))
     assert kept > 0.7 * sum(len(b - gone) for b in before)
+
+
+def attempts(fleet: Fleet) -> list[Attempt]:
+    """All that reached a node from now on, as it comes in."""
+    reached: list[Attempt] = []
+    reach = fleet._reach
+
+    def seen(attempt: Attempt) -> None:
+        reached.append(attempt)
+        reach(attempt)
+
+    fleet._reach = seen  # type: ignore[method-assign]
+    return reached
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_cold_nodes_are_used_as_they_warm_up_and_never_pushed_over(seed: int) -> None:
+    """With half of the fleet back cold the warm half bore nearly all, choked, and stayed so."""
+    fleet = Fleet(seed, 0.7, nodes=20, proxies=20, overload_factor=4.0)
+    fleet.run(4)
+    back = fleet.nodes[::2]
+    for node in back:
+        fleet.die(node)
+    fleet.run(0.1)
+    reached = attempts(fleet)
+    for node in back:
+        fleet.come_back(node)
+    began = fleet.now
+    fleet.run(3)
+    for node in back:
+        got = [(a.sent, a.request.work) for a in reached if a.node is node]
+        least = CORES * node.speed * COLD  # what it surely can do, in work a ms
+        for at, _ in got:
+            burst = sum(work for sent, work in got if at <= sent < at + 1000.0)
+            assert burst < fleet.cfg.overload_factor * least * 1000.0
+    cold = sum(a.request.work for a in reached if a.node in back)
+    warm = sum(a.request.work for a in reached if a.node not in back)
+    can = sum(n.speed for n in back) / sum(n.speed for n in fleet.nodes if n not in back)
+    assert cold > 0.42 * warm * can  # they can do 0.4 to 0.82 of the others' work; was 0.29
+    assert fleet.now == began + 3000.0
+
+
+def test_what_merely_takes_longer_is_not_sent_twice() -> None:
+    """Every second copy is work for all: where each proxy copies one request in twelve, that is a load."""
+    fleet = Fleet(3, 0.6, nodes=12, proxies=8)
+    fleet.run(2)
+    reached = attempts(fleet)
+    fleet.run(6)
+    copies = sum(a.number > 0 for a in reached)
+    total = len(reached)
+    assert total > 1000 and copies < 0.02 * total  # was 0.09
