--- a/tests/fleet_model.py
+++ b/tests/fleet_model.py
@@ -137,6 +137,7 @@
             answer_slack_ms=SLACK,
             **settings,
         )
+        self.reached: list[Attempt] = []  # all that came to a node, in order
         self.left: set[int] = set()  # seconds in which an attempt left
         self.able: set[int] = set()  # seconds throughout which a listed node answered
         self.unable: set[int] = set()
@@ -312,6 +313,7 @@
 
     def _reach(self, attempt: Attempt) -> None:
         node = attempt.node
+        self.reached.append(attempt)
         if not node.alive:
             self.at(NET, lambda: self._end(attempt, S.CONNECT_FAILED))
         elif not node.silent:
