Ask discovery again within 4 s of a failed call, since a drain counts as told after 6 s

Read again: after five failed calls the wait grew to ask_within_ms, 5 to 10 s at this site, while the protocol counts what discovery has to tell as told after 6 s, heard or not. After an outage of some 15 s a drain could go unheard for longer than that, and what is then sent to the node breaks the rule on drains. At fault: the bound in Balancer._on_list. Forty proxies that ask every 2 to 4 s, spread by their seeds, are at most 13 calls a second while all fail; whoever gets through stops.

Also: the window's ring is sorted on plain tuples.

--- a/lynxlift/rules.py
+++ b/lynxlift/rules.py
@@ -36,6 +36,8 @@
 FAIR_TIME = 2.5  # a time-out counts against its server from this many usual latencies on
 BACKOFF_TURNS = 2.0  # the first wait lasts this many turns of a server, where others look after it as well
 BACKOFF_MAX = 4000.0  # a wait after failures in a row is never longer, so that recovery is noticed
+# After failed calls discovery is asked again within this; a drain counts as told after 6 s, heard or not.
+ASK_AGAIN_MAX = 4000.0
 BAD_AFTER = 3  # failures in a row after which a server counts as bad
 # A server that fails one kind of request gets none of it for so long, doubling up to the second figure.
 FLOW_WAIT, FLOW_MAX = 3000.0, 12000.0
@@ -214,7 +216,7 @@
         if event.mode == api.ListMode.FAILED:
             # Discovery overloaded: ask again with jittered back-off, sooner than we are deemed informed.
             self.watch_failures += 1
-            wait = min(500.0 * 2**self.watch_failures, self.cfg.ask_within_ms)
+            wait = min(500.0 * 2**self.watch_failures, ASK_AGAIN_MAX, self.cfg.ask_within_ms)
             self.out.append(api.SetTimer(T_WATCH, wait * (0.5 + 0.5 * self.random.random())))
             return
         self.watch_failures = 0
@@ -241,11 +243,11 @@
             zone.append(s)
         # Zones in proportion, and only what is ready: with half a window from each, or with gaps where some
         # have gone, the few of a small zone and those behind a gap would bear a multiple of the others' load.
-        places: list[tuple[float, Server]] = []
-        for zone in zones.values():
+        places: list[tuple[float, int, Server]] = []
+        for number, zone in zones.items():
             up = [s for s in zone if s.ready]
-            places += [((rank + 0.5) / len(up), s) for rank, s in enumerate(up)]
-        ring = [s for _, s in sorted(places, key=lambda place: (place[0], place[1].zone))]
+            places += [((rank + 0.5) / len(up), number, s) for rank, s in enumerate(up)]
+        ring = [s for _, _, s in sorted(places)]  # no two share place and zone: servers are never compared
         start = int(self.cfg.number * GOLDEN % 1.0 * len(ring))
         first, self.ready, self.listed = not self.listed, [], len(ring)
         room = room_for = max(SUBSET, SUBSET_COVER * self.listed / self.cfg.siblings)
