--- a/lynxlift/rules.py
+++ b/lynxlift/rules.py
@@ -19,6 +19,7 @@
 REFRESH_REQUESTS, REFRESH_MAX = 4.0, 500.0  # but not before so many requests came, or so long passed
 SUBSET = 6  # servers an instance uses at least: few enough to know each, enough to lose some
 SUBSET_COVER = 6.0  # and so many that each server is used by about this many instances, to even out
+SUBSET_SLACK = 0.3  # kept though it could use fewer by this share: what it knows of each would be lost
 GOLDEN = 0.6180339887  # golden ratio: its multiples are even among any part of the instances
 GONE_KEPT = 30000.0  # servers keep their place in the order so long after they left the list
 FIGURE_MEMORY = 4000.0  # EWMA memory of the speed figures: tens of samples, yet quick to notice a slowdown
@@ -49,7 +50,8 @@
 # do, and whoever holds back leaves all of it to the warm ones.
 BUDGET_SHARE = 2.4
 BUDGET_MULTIPLE = 0.6  # but no more than this share of the multiple that tips them: windows cover unevenly
-MIX_PRIOR = 30.0  # requests that the first mix counts for; equal counts would give the long nearly all
+# Requests that the first mix counts for, equal counts would give the long nearly all; and the first traffic.
+MIX_PRIOR = 30.0
 # A loss on a connection idle for over the first sets the time trusted to this share; it regrows by the third.
 IDLE_LEAST, IDLE_MARGIN, IDLE_MEMORY = 300.0, 0.7, 20000.0
 CONNECTS_DEAR, CONNECTS_FINE = 0.1, 0.02  # share not connected: open ones go first; as good as none
@@ -69,6 +71,8 @@
 # the second is slow by itself: all servers but one get nothing for the third, as choked ones need. If that is
 # no help they are slow by nature, and only what is late counts. The one is changed if silent for the last.
 LIMIT_BARE, LIMIT_SURE, LIMIT_REST, LIMIT_SILENT = 1.0, 1500.0, 5500.0, 700.0
+# A rest empties a server only if all who use it rest: with more sharing it, one's own is so much refused.
+LIMIT_SHARERS = 4.0
 LIMIT_AGAIN = 20000.0  # after a rest there is none for so long: servers slow by nature must not be idle often
 LIMIT_RELIEF = 0.55  # of the usual latency at the one that does not rest ends the rest
 LIMIT_PATIENT = 3.0  # times the first, no more while only what is late counts: it would push siblings out
@@ -174,6 +178,8 @@
         self.lat_sum, self.lat_n = [0.0] * self.groups, [0.0] * self.groups
         self.mean_usual = sum(self.usual) / self.groups
         self.arrived = self.arrived_now = 0.0  # EWMA of arriving work, in usual requests per ms
+        self.planned = sum(t.quota_rps for t in settings.tenants) / 1000.0 / settings.siblings  # a mean part
+        self.width = inf  # servers that it uses
         self.born, self.refreshed = 0.0, -inf
         self.mean_size, self.carried = 1.0, 0.0  # work per ms and size that warm servers are seen to do
         self.knee, self.patient = LIMIT_START, False  # concurrency limit of a mean server; only late counts
@@ -250,17 +256,29 @@
         ring = [s for _, _, s in sorted(places)]  # no two share place and zone: servers are never compared
         start = int(self.cfg.number * GOLDEN % 1.0 * len(ring))
         first, self.ready, self.listed = not self.listed, [], len(ring)
-        room = room_for = max(SUBSET, SUBSET_COVER * self.listed / self.cfg.siblings)
+        room = self.width = self._wanted()
         for s in ring[start:] + ring[:start]:
             if room > 0.0:
                 self.ready.append(s)
                 room -= 1.0 if s.fails < BAD_AFTER else 0.0
         self.ready.sort(key=lambda s: (s.turn, s.id))
-        self.sharers = sharers = max(self.cfg.siblings * min(room_for / max(self.listed, 1), 1.0), 1.0)
+        self.sharers = sharers = max(self.cfg.siblings * min(self._cover() / max(self.listed, 1), 1.0), 1.0)
         self.telling = self.cfg.peers and sharers < PEER_SHARERS
         if first and not self.telling:  # nothing learned: hundreds at once would start a jam
             self.knee = min(LIMIT_START, max(LIMIT_START_ALL / max(sharers, 1.0), 1.0))
 
+    def _cover(self) -> float:
+        return max(SUBSET, SUBSET_COVER * self.listed / self.cfg.siblings)
+
+    def _wanted(self) -> float:
+        """How many servers to use: one with several times its part of the traffic needs as many times more,
+        or what it uses is full of it alone."""
+        if self.planned <= 0.0:
+            return self._cover()
+        known = min(self.now - self.born, MIX_MEMORY)
+        part = (self.arrived * known + MIX_PRIOR) / (self.planned * known + MIX_PRIOR)
+        return self._cover() * max(part, 1.0)
+
     def _update(self, entry: api.ServerEntry) -> None:
         server = self.servers.get(entry.id)
         ready = entry.availability == api.Availability.READY
@@ -286,7 +304,8 @@
     def _refresh(self) -> None:
         """Rebuilds weights, limits and budgets; the per-request path only reads them."""
         now, bad = self.now, sum(1 for s in self.ready if s.fails >= BAD_AFTER)
-        if bad != self.bad:
+        wanted = self._wanted()
+        if bad != self.bad or wanted >= self.width + 1.0 or wanted < (1.0 - SUBSET_SLACK) * self.width:
             self._subset()
         self.bad, ready = bad, self.ready
         dt = min(max(now - self.refreshed, 1e-3), 1000.0)
@@ -401,7 +420,7 @@
             self.bare_since = now
         elif now - self.bare_since > LIMIT_SURE:
             self.patient = True
-            if now > self.rest_until + LIMIT_AGAIN:
+            if self.sharers <= LIMIT_SHARERS and now > self.rest_until + LIMIT_AGAIN:
                 self.rest_until, self.awake, self.relief = now + LIMIT_REST, None, 1.0
                 self._log(f"rest: {slow:.0%} slow with hardly any load; all servers but one rest")
         most = LIMIT_PATIENT * bare if self.patient else LIMIT_MOST
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -128,3 +128,37 @@
         d.list(api.ServerEntry(cold.id, zone=cold.zone, started_at_ms=d.now), mode=api.ListMode.DELTA)
         budgets.append(cold.rate / d.lb.arrived)  # nine answer in either case
     assert budgets[1] > 0.9 * budgets[0] > 0.0
+
+
+def at_rate(d: Driver, each_ms: float, seconds: float, took: float) -> Counter[bytes]:
+    """One request every so many ms, each served after `took` ms; how many each node got."""
+    got, out = Counter[bytes](), list[tuple[float, api.Send]]()
+    end = d.now + 1000.0 * seconds
+    while d.now < end:
+        while out and out[0][0] <= d.now:
+            send = out.pop(0)[1]
+            d.tell(api.Outcome(send.id, 0, send.server, api.Status.OK, took, True))
+        for send in sends(d.request()):
+            got[send.server] += 1
+            out.append((d.now + took, send))
+        d.now += each_ms
+    return got
+
+
+@pytest.mark.parametrize("times", [1, 3, 6])
+def test_a_proxy_with_several_times_its_part_of_the_traffic_uses_as_many_more_nodes(times: int) -> None:
+    """Six nodes took all of a proxy with six times the mean: on a calm day a dozen proxies refused half."""
+    quota = [api.Tenant("a", 1.0, 8.0 * PROXIES)]  # a mean proxy has eight requests a second
+    d = crowd(nodes(60, 60), tenants=quota)[0]
+    at_rate(d, 125.0 / times, 12.0, took=60.0)
+    last = at_rate(d, 125.0 / times, 6.0, took=60.0)
+    mean = 6.0 * 120 / PROXIES  # each node is used by about six proxies
+    assert 0.7 * mean * times <= len(last) <= 1.2 * mean * times
+
+
+def test_no_proxy_rests_alone_among_many_that_use_the_same_nodes() -> None:
+    """A rest empties nodes only if all keep it: alone it refused nearly all for 5.5 s, for nothing."""
+    d = crowd(nodes(30, 30))[0]
+    at_rate(d, 200.0, 2.0, took=60.0)
+    got = at_rate(d, 200.0, 8.0, took=300.0)  # slow by what the others send, whatever this one does
+    assert sum(got.values()) >= 35 and len(got) > 4
