Answer all that is owed before the proxy leaves, and let in who stands behind its closing door

- A hung node: the drain left 50 ms before SIGKILL with what it still owed unanswered, and with a longest deadline over 3 s with all of it: n1 ends; {'taken': 2, 'served': 0, 'requeued': 0, 'failed': 0, 'withdrawn': 0, 'claims': 2} At fault: _drain in program/app.py, `while (owed or held) and loop.time() < last`, then return.
A request that comes 0.65 s after SIGTERM with the whole 2 s of batch-submit is one of these on the operators' settings.
- A full backlog as the door closes: cancelling the accept task and closing the socket reset whoever waited, and a connection whose accept was done but not yet resumed: ConnectionResetError, 20 of 20 whole requests, taken 0.
At fault: Listener.stop_accepting.
- A request read behind the one that is out: its connection ended with the first answer.
- `held` counted links until their coroutine ended, and none that was being made.

Now the door is closed after an accept without wait has emptied the queue; accepting holds no connection in a future; links are known as their connections are made, until their bytes have left; an answer of the drain ends its connection only if nothing else has come on it; 0.25 s before SIGKILL may come all that is owed is answered, and what completes later is refused at once; half a request is told so. Ruled out: answers written to a closing transport (the submitter is gone then, and its request withdrawn).

--- a/alderspool/program/app.py
+++ b/alderspool/program/app.py
@@ -22,7 +22,11 @@
 ACCEPT_S = 0.7
 # SIGKILL comes no sooner than ACCEPT_S plus the longest deadline, counted as this where it is longer.
 LONGEST_DEADLINE_S = 3.0
-EXIT_MARGIN_S = 0.05
+# What is owed so long before that is answered then: on a shared core timers fire late, and SIGTERM was
+# sent some time before we saw it. Never more than the second figure of the longest deadline.
+EXIT_MARGIN_S, EXIT_MARGIN_PART = 0.25, 0.25
+# The last answers may take so long to leave; who has not read them by then is let go.
+LEAVE_S = 3.0
 DRAIN_STEP_S = 0.02
 # What lives from the start is set aside, so that a collection looks at what is open now and takes a
 # millisecond or two. asyncio's transports and httptools' parsers are cycles: without frequent
@@ -74,14 +78,21 @@
 
 
 async def _drain(exchange: Exchange, listener: Listener, config: Config) -> None:
+    """Leaves when nothing is owed and no byte waits to leave; by the last moment all is answered."""
     loop = asyncio.get_running_loop()
-    longest = max(c.deadline_ms for c in config.settings.classes) / 1000.0
-    last = loop.time() + ACCEPT_S + min(longest, LONGEST_DEADLINE_S) - EXIT_MARGIN_S
+    longest = min(max(c.deadline_ms for c in config.settings.classes) / 1000.0, LONGEST_DEADLINE_S)
+    last = loop.time() + ACCEPT_S + longest - min(EXIT_MARGIN_S, EXIT_MARGIN_PART * longest)
     listener.drain()
     await asyncio.sleep(ACCEPT_S)
     listener.stop_accepting()
     while (exchange.owed or listener.held) and loop.time() < last:
         await asyncio.sleep(DRAIN_STEP_S)
+        listener.close_idle()
+    exchange.end()
+    while listener.held and loop.time() < last + LEAVE_S:
+        listener.end()
+        await asyncio.sleep(DRAIN_STEP_S)
+    listener.abandon()
 
 
 def run(config: Config) -> None:
--- a/alderspool/protocol/submitters.py
+++ b/alderspool/protocol/submitters.py
@@ -207,6 +207,11 @@
         """Whether nothing of a request has come since the last answer."""
         return not (self.begun or self._whole or self._taken or self.fault)
 
+    @property
+    def more(self) -> bool:
+        """Whether something of a further request has been read behind the one that is out."""
+        return bool(self.begun or self._whole)
+
     def too_slow(self) -> Rejection | None:
         """For a request of which a part is still missing after too long."""
         if self._taken is not None or self._broken:
--- a/alderspool/routing/exchange.py
+++ b/alderspool/routing/exchange.py
@@ -59,7 +59,7 @@
         self._open_names: set[bytes] = set()  # the submitters' own ids of what is in the ledger
         self._next_id = 0
         self._events: deque[api.Event] = deque()
-        self._feeding = False
+        self._feeding = self._ended = False
         self._log_left = LOG_LINES
         self.counts = {"taken": 0, "served": 0, "requeued": 0, "failed": 0, "withdrawn": 0, "claims": 0}
 
@@ -89,8 +89,8 @@
     def submit(self, submission: Submission, answer: AnswerCallback) -> int:
         """Takes a request; `answer` is called exactly once, perhaps before this returns."""
         self.counts["taken"] += 1
-        if len(self._ledger) >= self._settings.max_open:
-            # More than the settings let one instance hold: never reaches the module.
+        if self._ended or len(self._ledger) >= self._settings.max_open:
+            # Too late, or more than the settings let one instance hold: never reaches the module.
             self.counts["requeued"] += 1
             answer(RequeueNotice())
             return 0
@@ -112,6 +112,14 @@
         )
         return request_id
 
+    def end(self) -> None:
+        """Answers at once whatever is still owed, and all that comes later: the program must leave now, and
+        what it leaves without an answer is lost."""
+        self._ended = True
+        for request_id, owed in list(self._ledger.items()):
+            if not owed.concluded:
+                self._answer_for(request_id, owed)
+
     def withdraw(self, request_id: int) -> None:
         """The submitter went away: nothing is owed any longer."""
         owed = self._ledger.get(request_id)
@@ -326,6 +334,10 @@
         owed = self._ledger.get(request_id)
         if owed is not None and not owed.concluded:
             self._log("error", "request {} overdue: the module left it unanswered", request_id)
-            self._conclude(request_id, owed, Failed(timed_out=True), "failed")
-            self._feed(api.ClientGone(request_id))
-            self._settle(request_id, owed)
+            self._answer_for(request_id, owed)
+
+    def _answer_for(self, request_id: int, owed: Owed) -> None:
+        """The final answer in the module's place, which takes it as it takes a submitter's leaving."""
+        self._conclude(request_id, owed, Failed(timed_out=True), "failed")
+        self._feed(api.ClientGone(request_id))
+        self._settle(request_id, owed)
--- a/alderspool/transport/listener.py
+++ b/alderspool/transport/listener.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import socket
+from collections.abc import Coroutine
+from typing import Any
 
 from loguru import logger
 
@@ -33,8 +35,11 @@
 # A submitter without a whole request is told so, or closed, after this long, whatever it has sent of one:
 # counted from its connecting, its last answer, or the first byte of a further request.
 PATIENCE_S = 2.1
+# Who has just connected did so in order to ask: in the ending its connection is kept this long for that.
+NEWCOMER_S = 0.3
 LINGER_S, LINGER_BYTES = 0.5, 1 << 18
 SWEEP_S = 0.2
+ACCEPT_AGAIN_S = 0.01
 
 
 class SubmitterLink:
@@ -49,7 +54,9 @@
         self.served = False  # it has had an answer, so it is no mere connection
         self.answered = asyncio.Event()
         self.since = listener.loop.time()  # see PATIENCE_S
-        self.over = False  # nothing more is read
+        self.over = False  # nothing more is taken
+        self.spared = False  # see break_off
+        self.lingers = False  # what still comes is read away, until its submitter ends it too
 
     def answer(self, final: FinalAnswer) -> None:
         self.busy, self.request_id = False, 0
@@ -57,20 +64,29 @@
 
     def send(self, status: int, body: bytes, headers: list[tuple[bytes, bytes]], last: bool = False) -> None:
         """`last`: what follows on this connection is not read."""
-        close = last or self._listener.draining or self._listener.crowded
-        self.since, self.served = self._listener.loop.time(), True
+        listener = self._listener
+        # What has come of a further request is taken too: the connection must not end over it.
+        close = last or listener.ending or (listener.draining or listener.crowded) and not self.more
+        self.since, self.served, self.spared = listener.loop.time(), True, False
         if self.writer.transport.is_closing():
             return
         out, ended = self.wire.compose(status, body, headers, close)
         self.writer.write(out)
         if ended:
             self.over = True
-            if last:
+            # Closing over what nobody has read resets the connection, and the answer would be lost with it.
+            if last or not is_quiet(self.reader, self.writer):
+                self.lingers = True
                 self.writer.write_eof()
             else:
                 self.writer.close()
         self.answered.set()
 
+    @property
+    def more(self) -> bool:
+        """Whether something of a request has come that is not taken yet."""
+        return self.wire.more or not is_quiet(self.reader, self.writer)
+
     @property
     def idle(self) -> bool:
         return not self.busy and not self.over and self.wire.idle
@@ -83,8 +99,12 @@
         self.writer.close()
         return True
 
-    def break_off(self) -> None:
-        """Half a request, or an answer that is never read."""
+    def break_off(self) -> bool:
+        """Half a request, or an answer that is never read. Whether it was done: after a pause of ours the
+        rest may have come and nobody has looked yet, so that is let pass, once."""
+        if not self.spared and not self.over and not is_quiet(self.reader, self.writer):
+            self.spared = True
+            return False
         rejection = None if self.over else self.wire.too_slow()
         if rejection is not None:
             self.send(*rejection_http(rejection), last=True)
@@ -93,6 +113,7 @@
             self.writer.transport.abort()
         else:
             self.writer.close()
+        return True
 
 
 class Listener:
@@ -101,9 +122,9 @@
         self.loop = asyncio.get_running_loop()
         self._links: dict[SubmitterLink, None] = {}  # the oldest first
         self._socket: socket.socket | None = None
-        self._accepting: asyncio.Task[None] | None = None
+        self._welcomes: set[asyncio.Task[None]] = set()  # accepted, their links not yet made
         self._asked, self._kept = 0, budget.share(KEPT_SHARE)  # links that have asked; how many are kept
-        self.draining = self._warned = False
+        self.draining = self.ending = self._door_open = self._warned = False
         budget.on_tight(self._drop_one)
 
     def bind(self, host: str, port: int) -> None:
@@ -115,7 +136,7 @@
 
     def accept(self) -> None:
         self._socket.listen(BACKLOG)
-        self._accepting = self.loop.create_task(self._accept())
+        self._open_door()
         self._sweep()
 
     @property
@@ -131,66 +152,119 @@
         self.draining = True
 
     def stop_accepting(self) -> None:
-        """Closes the door, and what is idle behind it. What holds a request stays until its answer."""
-        if self._accepting is not None:
-            self._accepting.cancel()
-            self._socket.close()
+        """Closes the door. Whoever stands behind it already, also in the system's queue, is let in: the
+        system would reset them with the socket, and with them what they have asked."""
+        self.loop.remove_reader(self._socket)
+        while self._accept_one():
+            pass
+        self._door_open = False
+        self._socket.close()
+        self.close_idle()
+
+    def close_idle(self) -> None:
+        """Ends what holds no request. What holds one stays until its answer, and so does for a moment who
+        has just come in; later there is nothing left that a submitter could send on."""
+        newest = self.loop.time() - NEWCOMER_S
         for link in list(self._links):
-            link.close_if_idle()
+            if link.served or link.since < newest:
+                link.close_if_idle()
+
+    def end(self) -> None:
+        """The last moment: each answer ends its connection, whatever else has come on it, and who has sent
+        only part of a request is told that it came too late."""
+        self.ending = True
+        for link in list(self._links):
+            if not link.busy and not link.over and not link.close_if_idle():
+                link.break_off()
+
+    def abandon(self) -> None:
+        """Lets go of whoever has not read its answer by now."""
+        for link in list(self._links):
+            link.writer.transport.abort()
 
     @property
     def held(self) -> int:
-        return len(self._links)
+        """Connections that are still to be read or have bytes to leave."""
+        return len(self._links) + len(self._welcomes)
 
     # ---- one connection ------------------------------------------------------------------------
 
-    async def _accept(self) -> None:
+    def _open_door(self) -> None:
+        self._door_open = True
+        self.loop.add_reader(self._socket, self._accept_one)
+
+    def _accept_one(self) -> bool:
         """One at a time, each counted at once: a server that takes all that is waiting in one go would
-        be over the limit before the first of them is counted."""
-        while True:
-            try:
-                sock, _ = await self.loop.sock_accept(self._socket)
-            except OSError as fault:  # gone again, or the system is out of something: later then
-                self._warn(f"accepting failed: {fault}")
-                await asyncio.sleep(0.01)
-                continue
-            if not self._budget.make_room():
-                self._warn("descriptor budget spent: submitters' connections are closed unread")
-                sock.close()
-            else:
-                self._budget.take()
-                reader = CountingReader(limit=INPUT_LIMIT, loop=self.loop)
-                protocol = asyncio.StreamReaderProtocol(reader, self._attend, loop=self.loop)
-                try:
-                    await self.loop.connect_accepted_socket(lambda made=protocol: made, sock)
-                except OSError:
-                    sock.close()
-                    self._budget.give_back()
-            await asyncio.sleep(0)  # a flood of connections must not keep the loop from the rest
+        be over the limit before the first of them is counted, and keep the loop from the rest."""
+        try:
+            sock, _ = self._socket.accept()
+        except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+            return False  # gone again
+        except OSError as fault:  # the system is out of something: later then
+            self._warn(f"accepting failed: {fault}")
+            if self._door_open:
+                self.loop.remove_reader(self._socket)
+                self.loop.call_later(ACCEPT_AGAIN_S, self._accept_again)
+            return False
+        if not self._budget.make_room():
+            self._warn("descriptor budget spent: submitters' connections are closed unread")
+            sock.close()
+            return True
+        self._budget.take()
+        task = self.loop.create_task(self._welcome(sock))
+        self._welcomes.add(task)
+        task.add_done_callback(self._welcomes.discard)
+        return True
+
+    def _accept_again(self) -> None:
+        if self._door_open:
+            self.loop.add_reader(self._socket, self._accept_one)
+
+    async def _welcome(self, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        reader = CountingReader(limit=INPUT_LIMIT, loop=self.loop)
+        protocol = asyncio.StreamReaderProtocol(reader, self._attend, loop=self.loop)
+        try:
+            await self.loop.connect_accepted_socket(lambda: protocol, sock)
+        except OSError:
+            sock.close()
+            self._budget.give_back()
 
     def _warn(self, text: str) -> None:
         if not self._warned:  # once: in a flood, one line each would fill the log
             self._warned = True
             logger.warning(text)
 
-    async def _attend(self, reader: CountingReader, writer: asyncio.StreamWriter) -> None:
+    def _attend(self, reader: CountingReader, writer: asyncio.StreamWriter) -> Coroutine[Any, Any, None]:
+        """Called as the connection is made: from then on its link is known, and no ending passes it over."""
         bound_reads(writer)
         link = SubmitterLink(self, reader, writer)
         self._links[link] = None
+        return self._serve(link)
+
+    async def _serve(self, link: SubmitterLink) -> None:
         try:
-            await self._converse(link, reader)
+            await self._converse(link, link.reader)
+            if link.lingers:
+                await self._linger(link.reader)
         except OSError:  # reset by the submitter: it went away
             pass
         except Exception as fault:  # whatever it sent, it must not cost more than its own connection
             self._warn(f"a submitter's connection failed: {fault!r}")
         finally:
-            self._links.pop(link, None)
             self._asked -= link.asked
             if link.busy:
                 link.busy = False
                 self._exchange.withdraw(link.request_id)
-            writer.close()
-            self._budget.give_back()
+            link.over = True
+            link.writer.close()
+            try:
+                await link.writer.wait_closed()  # bytes of its answer may be on their way still
+            except OSError:
+                pass
+            finally:
+                self._links.pop(link, None)
+                self._budget.give_back()
 
     async def _converse(self, link: SubmitterLink, reader: CountingReader) -> None:
         wire = link.wire
@@ -216,7 +290,6 @@
                 rejection = step if isinstance(step, Rejection) else self._take(link, step)
                 if rejection is not None:
                     link.send(*rejection_http(rejection), last=True)
-                    await self._linger(reader)
                     return
                 await link.writer.drain()  # who does not read its answers must not fill the memory
 
@@ -257,9 +330,8 @@
         for link in free:
             if link.wire.idle and not link.close_if_idle():
                 continue  # a request is just coming in
-            if not link.over:
-                link.break_off()
-            return True
+            if link.over or link.break_off():
+                return True
         return False
 
     def _sweep(self) -> None:
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -193,3 +193,23 @@
     exchange.submit(submission(), answers.append)
     logger.remove(sink)
     assert lines == ["module: eject s1: 3 failures\n"]
+
+
+@real
+async def test_the_end_answers_all_that_is_owed_at_once_and_refuses_what_comes_later() -> None:
+    """One at a node, one that the module holds, and one answered before."""
+    exchange, script, nodes, answers = bench(
+        {api.Request: lambda e: [api.Send(e.id, b"s1")] if e.id != 2 else [], api.ClientGone: []}
+    )
+    for _ in range(3):
+        exchange.submit(submission(), answers.append)
+    exchange.claim_ended(nodes.sent[1], S.OK, "body")
+    exchange.end()
+    assert answers == [Served("body"), Failed(timed_out=True), Failed(timed_out=True)]
+    assert exchange.owed == 0
+    exchange.submit(submission(), answers.append)
+    assert answers[3:] == [RequeueNotice()]
+    exchange.end()
+    exchange.claim_ended(nodes.sent[0], S.OK, "late")
+    assert len(answers) == 4  # each has one, whatever comes after
+    assert [type(e) for e in script.events].count(api.ClientGone) == 2
