Keep an answer that came while we were kept from the processor: it passed for a stray one

A probe that printed the time of the write and of the look behind it, each time a claim was ended as reset: PROBE stray b's2' 188 26 PROBE stray b's2' 227 36 PROBE stray b's2' 247 46 (us) Three failures, three such lines. The system took the processor from us as it woke the node; its answer was there when we looked. Ruled out: the dial (the node that never comes up was not concerned, the claim was at s2), a real stray (the scripted node sends one answer for each request). At fault: ExecuteNodePool.dispatch, which took whatever had come by then for something sent before the claim. Now only what is there within 0.15 ms of the write's beginning counts as that. The scripted nodes take 1 ms.

--- a/alderspool/transport/execute_nodes.py
+++ b/alderspool/transport/execute_nodes.py
@@ -20,6 +20,7 @@
 IDLE_SHARE = 0.6
 SWEEP_S = 0.5
 PROBE_S = 1.0
+SOONEST_S = 0.00015  # no node answers so soon: the way there and back alone takes longer
 Place = tuple[str, int]
 
 
@@ -43,6 +44,7 @@
         self._dial_s = settings.dial_timeout_ms / 1000.0
         self._idle_s = settings.conn_idle_ms * IDLE_SHARE / 1000.0
         self._loop = asyncio.get_running_loop()
+        self._now = self._loop.time
         self._idle: dict[ServerId, deque[ExecuteNodeConnection]] = {}  # the longest idle first
         self._tasks: set[asyncio.Task[None]] = set()
         budget.on_tight(self._drop_longest_idle)
@@ -53,9 +55,11 @@
     def dispatch(self, claim: Claim) -> None:
         conn = self._take_idle(claim)
         if conn is not None:
+            begun = self._now()
             self._write(conn, claim)
-            if not is_quiet(conn.reader, conn.writer):
-                # Sooner than any answer: it came in while we wrote. The claim is out, and may run.
+            if not is_quiet(conn.reader, conn.writer) and self._now() - begun < SOONEST_S:
+                # Sooner than any answer: it came in while we wrote. The claim is out, and may run. Had we
+                # been kept from the processor meanwhile, it would most likely be the answer.
                 conn.claim = claim.carrier = None
                 conn.writer.transport.abort()
                 self._exchange.claim_ended(claim, Status.RESET)
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -74,6 +74,7 @@
                 self.got.append(await read_message(reader))
                 reply = self.reply(self) if callable(self.reply) else self.reply
                 reply = await reply if asyncio.iscoroutine(reply) else reply
+                await asyncio.sleep(0.001)  # no machine of a network answers sooner; on the loopback it could
                 if reply is not None:
                     writer.write(reply)
                     if not reply or b"Connection: close" in reply:
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -9,9 +9,15 @@
 import time
 
 import pytest
-from rig import LIMIT_S, OK, Party, Rig, read_message, real, request
+from rig import LIMIT_S, OK, SETTINGS, Party, Rig, read_message, real, request
 
+from alderspool.program.config import flatten
+from alderspool.protocol.claims import ForwardRequest
+from alderspool.routing.messages import Claim
+from alderspool.transport.budget import DescriptorBudget
+from alderspool.transport.execute_nodes import ExecuteNodePool
 from alderspool.transport.streams import connect, is_quiet
+from lynxlift.interface import Settings, Status
 
 
 @real
@@ -192,3 +198,48 @@
                 assert (await rig.ask())[0] == 200
             held.append(memory_kb(rig))
         assert held[-1] - held[0] < 1200  # 900 more connections; about 2 KB each where they stay
+
+
+class Ledger:
+    """In the exchange's place: what became of each claim."""
+
+    def __init__(self) -> None:
+        self.ends: asyncio.Queue = asyncio.Queue()
+
+    def may_write(self, claim: Claim) -> bool:
+        return True
+
+    def time_left_ms(self, claim: Claim) -> float:
+        return 1000.0
+
+    def claim_ended(self, claim: Claim, status: int, payload: object = None) -> None:
+        self.ends.put_nowait((claim.number, status))
+
+
+@real
+@pytest.mark.parametrize(("paused", "status"), [(0.0, Status.RESET), (0.001, Status.OK)])
+async def test_a_pause_of_ours_as_a_claim_is_written_does_not_make_its_answer_a_stray(
+    paused: float, status: Status
+) -> None:
+    """What is there as soon as a claim is written was sent for another one, unless time went by."""
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        ledger = Ledger()
+        settings = Settings.from_pairs(flatten(SETTINGS | {"bounds": {"dial_timeout_ms": 5000.0}}))
+        pool = ExecuteNodePool(ledger, settings, DescriptorBudget(64))
+        payload = ForwardRequest(b"GET", b"/look", [], b"")
+        first, second = (Claim(n, n, b"s1", *server.getsockname(), payload, 0.0, 1e9) for n in (1, 2))
+        pool.dispatch(first)
+        node, _ = await asyncio.get_running_loop().run_in_executor(None, server.accept)
+        node.sendall(OK)
+        assert await ledger.ends.get() == (1, Status.OK)
+
+        def write_and_meet_an_answer(conn: object, claim: Claim, write=pool._write) -> None:
+            write(conn, claim)
+            node.sendall(OK)  # on the loopback it is there when this returns
+
+        clock = iter((5.0, 5.0 + paused))
+        pool._write, pool._now = write_and_meet_an_answer, lambda: next(clock)
+        pool.dispatch(second)
+        assert await ledger.ends.get() == (2, status)
+        pool.close_idle(b"s1")
+        node.close()
