Obey signals that come while loading, and hear an agent or a silent watch before it counts as told

The shell of `run` now has it ignored, program/signals.py keeps what comes, serve() obeys it once it can. - Where lists are pushed, what the agent has counts as told from the first moment: a new process sent to what its old list called ready. It now asks the agent for the whole list before anybody is let in, 2 s at most. - A silent watch was given up 1.5 s after its wait and asked anew 0.5 to 1 s later, while what it missed counts as told 2 s after the wait.

--- a/alderspool/program/app.py
+++ b/alderspool/program/app.py
@@ -6,10 +6,12 @@
 import gc
 import os
 import signal
+from functools import partial
 
 from loguru import logger
 
 from alderspool.program.config import Config, ConfigError, load
+from alderspool.program.signals import EarlySignals
 from alderspool.protocol.submitters import Reader
 from alderspool.routing.clock import Clock
 from alderspool.routing.exchange import Exchange
@@ -18,6 +20,9 @@
 from alderspool.transport.execute_nodes import ExecuteNodePool
 from alderspool.transport.listener import Listener
 
+# Where lists are pushed, what the agent beside us has counts as told from our first moment: nobody is let in
+# before it has answered, unless it is silent for so long.
+AGENT_S = 2.0
 # After SIGTERM new connections keep coming for a while, so the door stays open this long.
 ACCEPT_S = 0.7
 # SIGKILL comes no sooner than ACCEPT_S plus the longest deadline, counted as this where it is longer.
@@ -34,33 +39,44 @@
 GC_THRESHOLDS = (5_000, 5, 5)
 
 
-async def serve(config: Config) -> None:
-    """Serves until SIGTERM or SIGINT, then finishes what was taken."""
+async def serve(config: Config, early: EarlySignals | None = None) -> None:
+    """Serves until SIGTERM or SIGINT, then finishes what was taken. `early`: signals that came meanwhile."""
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
     exchange = Exchange(config.settings, config.seed, Clock())
     budget = DescriptorBudget.of(config.limits.sockets)
     pool = ExecuteNodePool(exchange, config.settings, budget.part(1.0))
-    discovery = DiscoveryClient(config.discovery, exchange, config.settings, config.known.revision)
-    loop.add_signal_handler(signal.SIGHUP, _reload, config, discovery)
+    discovery = DiscoveryClient(
+        config.discovery, exchange, config.settings, config.known.revision, config.seed
+    )
+    obey = {
+        signal.SIGHUP: partial(_reload, config, discovery),
+        signal.SIGTERM: stop.set,
+        signal.SIGINT: stop.set,
+    }
+    for number, act in obey.items():
+        loop.add_signal_handler(number, act)
+    if early is not None:
+        early.hand_over(obey)
     listener = Listener(exchange, Reader(config.settings), budget.part(SUBMITTERS_SHARE))
     try:
         listener.bind(*config.listen)
     except OSError as fault:
         raise ConfigError(f"BALANCER_LISTEN: cannot listen there: {fault.strerror}") from None
     exchange.start(pool, discovery, config.known)
-    listener.accept()
-    logger.info(
-        "{} serves at {}:{}; {} machines known", config.name, *config.listen, len(config.known.machines)
-    )
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(*GC_THRESHOLDS)
-    await stop.wait()
-    logger.info("{} drains; {} requests owed", config.name, exchange.owed)
-    await _drain(exchange, listener, config)
+    if not config.settings.watch_needed and not await discovery.heard(AGENT_S):
+        logger.warning("no list from the agent at the start: what was known last holds")
+    if not stop.is_set():  # told to end before it could begin: nobody is let in
+        listener.accept()
+        logger.info(
+            "{} serves at {}:{}; {} machines known", config.name, *config.listen, len(config.known.machines)
+        )
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(*GC_THRESHOLDS)
+        await stop.wait()
+        logger.info("{} drains; {} requests owed", config.name, exchange.owed)
+        await _drain(exchange, listener, config)
     logger.info("{} ends; {}", config.name, exchange.counts)
 
 
@@ -95,5 +111,5 @@
     listener.abandon()
 
 
-def run(config: Config) -> None:
-    asyncio.run(serve(config))
+def run(config: Config, early: EarlySignals | None = None) -> None:
+    asyncio.run(serve(config, early))
--- a/alderspool/program/cli.py
+++ b/alderspool/program/cli.py
@@ -63,6 +63,9 @@
 @click.option("--log-level", type=click.Choice(LEVELS), default="INFO", show_default=True)
 def serve(log_level: str) -> None:
     """Serve until SIGTERM, then finish what was taken."""
+    from alderspool.program.signals import EarlySignals
+
+    early = EarlySignals()
     logger.remove()
     logger.add(sys.stderr, level=log_level, format=LINE, backtrace=False, diagnose=False)
     config = _load()
@@ -70,7 +73,7 @@
     from alderspool.program.config import ConfigError
 
     try:
-        run(config)
+        run(config, early)
     except ConfigError as fault:
         raise Unusable(str(fault)) from None
 
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -14,6 +14,7 @@
 import sys
 import tempfile
 import time
+import tomllib
 from collections.abc import Callable
 from pathlib import Path
 
@@ -92,8 +93,8 @@
 class Rig:
     """Discovery, execute nodes and the proxy, started together."""
 
-    def __init__(self, *nodes: Party, settings: dict | None = None) -> None:
-        self.nodes, self.settings = nodes, SETTINGS | (settings or {})
+    def __init__(self, *nodes: Party, settings: dict | None = None, await_ready: bool = True) -> None:
+        self.nodes, self.settings, self.await_ready = nodes, SETTINGS | (settings or {}), await_ready
         self.discovery = Party("discovery", lambda party: self._list())
         self.news: asyncio.Queue[bytes] = asyncio.Queue()
         self.calls: list[float] = []
@@ -102,9 +103,16 @@
         self.calls.append(time.monotonic())
         return await self.news.get()
 
+    def list_of(
+        self, *entries: dict, index: int = 2, snapshot: bool = False, indent: str | None = None
+    ) -> bytes:
+        """Discovery's answer that holds these entries."""
+        text = json.dumps({"index": index, "snapshot": snapshot, "endpoints": entries}, indent=indent)
+        doc = text.replace("\n", "\r\n").encode()
+        return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(doc), doc)
+
     def tell(self, *entries: dict, index: int = 2, snapshot: bool = False) -> None:
-        doc = json.dumps({"index": index, "snapshot": snapshot, "endpoints": entries}).encode()
-        self.tell_raw(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(doc), doc))
+        self.tell_raw(self.list_of(*entries, index=index, snapshot=snapshot))
 
     def tell_raw(self, answer: bytes) -> None:
         self.news.put_nowait(answer)
@@ -130,16 +138,27 @@
         }
         self.file = Path(tempfile.mkdtemp(prefix="alderspool-")) / "config.json"
         self.file.write_text(json.dumps(self.config))
+        root = Path(__file__).parent.parent
+        run = tomllib.loads((root / "deploy" / "balancer.toml").read_text())["run"]
         self.proxy = await asyncio.create_subprocess_exec(
-            *(sys.executable, "-m", "alderspool", "serve"),
+            *("/bin/sh", "-c", run.replace(".venv/bin/python", sys.executable)),
             env=os.environ
             | {"BALANCER_CONFIG": str(self.file), "BALANCER_DISCOVERY": self.config["discovery"]},
-            cwd=Path(__file__).parent.parent,
+            cwd=root,
         )
+        if self.await_ready:
+            await self.until_ready()
+        return self
+
+    async def until_ready(self) -> None:
         while await self.ready() is None:
             assert self.proxy.returncode is None
             await asyncio.sleep(0.02)
-        return self
+
+    async def loading(self) -> None:
+        """Until the shell has given way to the program, which loads from then on."""
+        while b"alderspool\0serve" not in Path(f"/proc/{self.proxy.pid}/cmdline").read_bytes():
+            await asyncio.sleep(0.001)
 
     async def __aexit__(self, *fault: object) -> None:
         if self.proxy.returncode is None:
--- a/tests/test_ending.py
+++ b/tests/test_ending.py
@@ -101,3 +101,17 @@
         assert b"HTTP/1.1 408" in done.result()
         assert await rig.proxy.wait() == 0
         assert time.monotonic() - told < 10.0
+
+
+@real
+async def test_what_came_while_we_were_paused_is_looked_at_before_patience_ends_its_connection() -> None:
+    """Half a request was read; its rest comes while the proxy is stopped for longer than its patience."""
+    async with Rig(Party("s1")) as rig:
+        sent = request("pay")
+        reader, writer = await asked(rig, sent[:40])
+        assert await rig.ready()  # by now the half is read
+        rig.proxy.send_signal(signal.SIGSTOP)
+        writer.write(sent[40:])
+        await asyncio.sleep(2.5)
+        rig.proxy.send_signal(signal.SIGCONT)
+        assert await status_of(reader) == 200
