Refuse in words who finds no descriptor: their connections were closed with no answer

Read, then caused on sockets: with 124 requests held of 124 that 256 descriptors allow, each further submitter's connection was closed unread (Listener._accept: `sock.close()`), also in the ending. Now transport/turned_away.py takes such a connection over, answers 503 as its request comes or 0.1 s later, reads away what was sent, so that no reset overtakes the answer, and ends it; 16 at most, out of the part kept for what is just closing.

--- a/alderspool/protocol/submitters.py
+++ b/alderspool/protocol/submitters.py
@@ -262,3 +262,11 @@
 
 def rejection_http(rejection: Rejection) -> tuple[int, bytes, list[tuple[bytes, bytes]]]:
     return rejection.status, error_body(rejection.why), [*rejection.headers, _JSON]
+
+
+def _turned_away() -> bytes:
+    status, body, headers = as_http(RequeueNotice())
+    return SubmitterWire().compose(status, body, headers, True)[0]
+
+
+TURNED_AWAY = _turned_away()  # the answer to whoever finds no place, whatever it asks
--- a/alderspool/transport/listener.py
+++ b/alderspool/transport/listener.py
@@ -27,6 +27,7 @@
 from alderspool.routing.messages import FinalAnswer
 from alderspool.transport.budget import KEPT_SHARE, DescriptorBudget
 from alderspool.transport.streams import READ_SIZE, CountingReader, bound_reads, is_quiet
+from alderspool.transport.turned_away import TurnedAway
 
 BACKLOG = 1024
 # What the system buffers of a connection, and we after it: hundreds that send at full speed must not
@@ -123,6 +124,7 @@
         self._links: dict[SubmitterLink, None] = {}  # the oldest first
         self._socket: socket.socket | None = None
         self._welcomes: set[asyncio.Task[None]] = set()  # accepted, their links not yet made
+        self._turned_away = TurnedAway(self.loop)
         self._asked, self._kept = 0, budget.share(KEPT_SHARE)  # links that have asked; how many are kept
         self.draining = self.ending = self._door_open = self._warned = False
         budget.on_tight(self._drop_one)
@@ -181,11 +183,12 @@
         """Lets go of whoever has not read its answer by now."""
         for link in list(self._links):
             link.writer.transport.abort()
+        self._turned_away.abandon()
 
     @property
     def held(self) -> int:
         """Connections that are still to be read or have bytes to leave."""
-        return len(self._links) + len(self._welcomes)
+        return len(self._links) + len(self._welcomes) + len(self._turned_away)
 
     # ---- one connection ------------------------------------------------------------------------
 
@@ -207,8 +210,8 @@
                 self.loop.call_later(ACCEPT_AGAIN_S, self._accept_again)
             return False
         if not self._budget.make_room():
-            self._warn("descriptor budget spent: submitters' connections are closed unread")
-            sock.close()
+            self._warn("descriptor budget spent: submitters are refused")
+            self._turned_away.refuse(sock)
             return True
         self._budget.take()
         task = self.loop.create_task(self._welcome(sock))
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -34,6 +34,33 @@
             writer.close()
 
 
+@real
+async def test_who_finds_no_descriptor_is_refused_in_words_also_in_the_ending() -> None:
+    """The rig allows 256 sockets, 124 of them for submitters; each holds a request that no node answers."""
+    async with Rig(Party("s1", None)) as rig:
+        asked = []
+        for _ in range(220):
+            asked.append(await asyncio.open_connection("127.0.0.1", rig.port))
+            asked[-1][1].write(request("pay", 60000))
+        told = [asyncio.create_task(read_message(reader)) for reader, _ in asked]
+        while sum(t.done() for t in told) < 220 - 124:
+            await asyncio.sleep(0.005)
+        refused = [t.result()[0] for t in told if t.done()]
+        assert all(b" 503 " in line for line in refused)
+        rig.proxy.send_signal(signal.SIGTERM)
+        while True:  # until the door is closed: answered or not let in, never dropped
+            try:
+                answer = await rig.raw(request("pay", 60000))
+            except ConnectionRefusedError:
+                break
+            assert answer[0] in (503, 504)  # one may find the place of whoever asked if it is ready
+        await asyncio.gather(*told)
+        assert all(t.result()[0].split()[1] in (b"503", b"504") for t in told)
+        assert await rig.proxy.wait() == 0
+        for _, writer in asked:
+            writer.close()
+
+
 @real
 async def test_a_second_request_sent_early_is_answered_second() -> None:
     async with Rig(Party("s1", OK)) as rig:
