Take a whole request that waits behind another before its connection is broken off

Traced: between the first answer and the moment in which the connection's coroutine takes the second, the link counts as not busy; the ending, and the dropping of a connection for a descriptor, looked at it just then. Ruled out: bytes unread (all was parsed), the end of the exchange (the second never got there). At fault: SubmitterLink.break_off, which took whatever is not idle for a part of a request.

Now what is whole is never broken off.

--- a/alderspool/protocol/submitters.py
+++ b/alderspool/protocol/submitters.py
@@ -207,6 +207,11 @@
         """Whether nothing of a request has come since the last answer."""
         return not (self.begun or self._whole or self._taken or self.fault)
 
+    @property
+    def waiting(self) -> bool:
+        """Whether a whole request is there that was not taken yet."""
+        return bool(self._whole)
+
     @property
     def more(self) -> bool:
         """Whether something of a further request has been read behind the one that is out."""
--- a/alderspool/transport/listener.py
+++ b/alderspool/transport/listener.py
@@ -67,7 +67,7 @@
         """`last`: what follows on this connection is not read."""
         listener = self._listener
         # What has come of a further request is taken too: the connection must not end over it.
-        close = last or listener.ending or (listener.draining or listener.crowded) and not self.more
+        close = last or (listener.draining or listener.crowded) and not self.more
         self.since, self.served, self.spared = listener.loop.time(), True, False
         if self.writer.transport.is_closing():
             return
@@ -101,8 +101,10 @@
         return True
 
     def break_off(self) -> bool:
-        """Half a request, or an answer that is never read. Whether it was done: after a pause of ours the
-        rest may have come and nobody has looked yet, so that is let pass, once."""
+        """Half a request, or an answer that is never read. Whether it was done: one that is whole is about
+        to be taken, and after a pause of ours the rest may have come unseen, so that is let pass, once."""
+        if self.wire.waiting:
+            return False
         if not self.spared and not self.over and not is_quiet(self.reader, self.writer):
             self.spared = True
             return False
@@ -126,7 +128,7 @@
         self._welcomes: set[asyncio.Task[None]] = set()  # accepted, their links not yet made
         self._turned_away = TurnedAway(self.loop)
         self._asked, self._kept = 0, budget.share(KEPT_SHARE)  # links that have asked; how many are kept
-        self.draining = self.ending = self._door_open = self._warned = False
+        self.draining = self._door_open = self._warned = False
         budget.on_tight(self._drop_one)
 
     def bind(self, host: str, port: int) -> None:
@@ -172,9 +174,7 @@
                 link.close_if_idle()
 
     def end(self) -> None:
-        """The last moment: each answer ends its connection, whatever else has come on it, and who has sent
-        only part of a request is told that it came too late."""
-        self.ending = True
+        """The last moment: who has sent only part of a request is told that it came too late."""
         for link in list(self._links):
             if not link.busy and not link.over and not link.close_if_idle():
                 link.break_off()
