Know a second answer that meets the next claim on its connection: it was passed on

Ruled out: the looks before and after writing (nothing has come by then). At fault: ExecuteNodePool._take_idle, which takes the freshest connection however fresh.

Now protocol/second_answers.py (no I/O): the last answer over again within 10 ms is a second copy and ends the claim as reset, once 20 answers in a row differed from the one before; until then, and after answers that are alike by nature, connections rest.

Taken out -> test_a_second_answer_some_milliseconds_late_... fails: the rest; the comparison.

--- a/alderspool/transport/execute_nodes.py
+++ b/alderspool/transport/execute_nodes.py
@@ -9,6 +9,7 @@
 
 from alderspool.protocol import claims
 from alderspool.protocol.http_client import BrokenReplyError, ClientWire
+from alderspool.protocol.second_answers import SecondAnswers, fingerprint
 from alderspool.routing.exchange import Exchange
 from alderspool.routing.messages import Claim
 from alderspool.transport.budget import DescriptorBudget
@@ -27,7 +28,7 @@
 class ExecuteNodeConnection:
     """One connection to an execute node, with the claim that it carries."""
 
-    __slots__ = ("claim", "idle_since", "node", "place", "reader", "wire", "writer")
+    __slots__ = ("claim", "idle_since", "last", "node", "place", "reader", "wire", "writer")
 
     def __init__(
         self, node: ServerId, place: Place, reader: CountingReader, writer: asyncio.StreamWriter
@@ -36,6 +37,7 @@
         self.wire: ClientWire = claims.claim_wire()
         self.claim: Claim | None = None
         self.idle_since = 0.0
+        self.last: int | None = None  # the fingerprint of its last answer
 
 
 class ExecuteNodePool:
@@ -45,6 +47,7 @@
         self._idle_s = settings.conn_idle_ms * IDLE_SHARE / 1000.0
         self._loop = asyncio.get_running_loop()
         self._now = self._loop.time
+        self._second = SecondAnswers()
         self._idle: dict[ServerId, deque[ExecuteNodeConnection]] = {}  # the longest idle first
         self._tasks: set[asyncio.Task[None]] = set()
         budget.on_tight(self._drop_longest_idle)
@@ -90,17 +93,25 @@
         return task
 
     def _take_idle(self, claim: Claim) -> ExecuteNodeConnection | None:
-        """The freshest idle connection to where the node is now."""
+        """The freshest idle connection to where the node is now, but for those that rest."""
         line = self._idle.get(claim.node)
-        while line:
+        resting: list[ExecuteNodeConnection] = []
+        found = None
+        while line and found is None:
             conn = line.pop()
-            fresh = self._loop.time() - conn.idle_since < self._idle_s
+            idle = self._now() - conn.idle_since
             # What came in after the last answer would pass for the answer to this claim.
-            quiet = is_quiet(conn.reader, conn.writer)
-            if fresh and quiet and conn.place == (claim.host, claim.port):
-                return conn
-            conn.writer.transport.abort()
-        return None
+            if not is_quiet(conn.reader, conn.writer) or idle >= self._idle_s:
+                conn.writer.transport.abort()
+            elif conn.place != (claim.host, claim.port):
+                conn.writer.transport.abort()
+            elif not self._second.may_follow(conn.last, idle):
+                resting.append(conn)
+            else:
+                found = conn
+        if line is not None:
+            line.extend(reversed(resting))
+        return found
 
     async def _dial(self, claim: Claim) -> None:
         if not self._budget.make_room():
@@ -151,6 +162,10 @@
                 return
             if reply is None:
                 continue
+            before, conn.last = conn.last, fingerprint(reply)
+            if self._second.is_second(before, conn.last, self._now() - conn.idle_since):
+                self._end(conn, claim, Status.RESET)  # its own answer may be on the way; nobody can tell
+                return
             status, answer = claims.read_outcome(reply)
             reusable = conn.wire.reusable and bool(data)
             self._end(conn, claim, status, answer, keep=reusable)
@@ -167,7 +182,7 @@
     ) -> None:
         conn.claim = claim.carrier = None
         if keep:
-            conn.idle_since = self._loop.time()
+            conn.idle_since = self._now()
             self._idle.setdefault(conn.node, deque()).append(conn)
         self._exchange.claim_ended(claim, status, answer)
 
@@ -179,7 +194,7 @@
     def _sweep(self) -> None:
         """Closes what has idled long, before the node does."""
         self._loop.call_later(SWEEP_S, self._sweep)
-        oldest = self._loop.time() - self._idle_s
+        oldest = self._now() - self._idle_s
         for node, line in list(self._idle.items()):
             while line and line[0].idle_since <= oldest:
                 line.popleft().writer.transport.abort()
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -11,6 +11,7 @@
 from alderspool.protocol import claims, machine_list
 from alderspool.protocol.http_client import BrokenReplyError, Reply
 from alderspool.protocol.machine_list import MachineListError
+from alderspool.protocol.second_answers import SOON_S, SURE, SecondAnswers, fingerprint
 from alderspool.protocol.submitters import (
     CONTINUE,
     NEED_DATA,
@@ -282,3 +283,28 @@
 def test_a_failed_call_is_no_machine_list() -> None:
     with pytest.raises(MachineListError, match="503"):
         machine_list.read_list(Reply(503, {}, listed()), CFG)
+
+
+# ---- second answers ----------------------------------------------------------------------------------
+
+
+def test_an_answer_equal_to_the_last_is_a_second_copy_only_if_it_is_soon_and_answers_differ_here() -> None:
+    second = SecondAnswers()
+    soon, late = SOON_S / 4, SOON_S
+    assert not second.may_follow(1, soon) and second.may_follow(1, late)  # nothing is known yet: rest
+    assert not second.is_second(1, 1, soon)
+    for n in range(SURE):
+        assert not second.may_follow(1, soon)
+        assert not second.is_second(n, n + 1, soon)
+    assert second.may_follow(1, soon)
+    assert second.is_second(7, 7, soon)
+    assert second.may_follow(1, soon)  # a copy is no evidence against it
+    assert not second.may_follow(None, soon) and not second.is_second(None, None, soon)  # refusals are alike
+    assert not second.is_second(7, 7, late)  # alike in earnest
+    assert not second.may_follow(1, soon) and not second.is_second(8, 8, soon)
+
+
+@pytest.mark.parametrize(("status", "body"), [(503, b"x"), (500, b"x"), (200, b"")])
+def test_answers_that_are_alike_by_nature_have_no_fingerprint(status: int, body: bytes) -> None:
+    assert fingerprint(Reply(status, {}, body)) is None
+    assert fingerprint(Reply(200, {}, b"a")) == fingerprint(Reply(200, {}, b"a")) is not None
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -245,6 +245,7 @@
         for _ in range(3):
             writer.write(request())
             assert (await reader.readuntil(b"done")).startswith(b"HTTP/1.1 200")
+            await asyncio.sleep(0.02)  # a node's connection rests a moment
         assert rig.nodes[0].opened == 1
 
 
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -12,7 +12,8 @@
 from rig import LIMIT_S, OK, SETTINGS, Party, Rig, read_message, real, request
 
 from alderspool.program.config import flatten
-from alderspool.protocol.claims import ForwardRequest
+from alderspool.protocol.claims import ExecuteNodeAnswer, ForwardRequest
+from alderspool.protocol.second_answers import SURE
 from alderspool.routing.messages import Claim
 from alderspool.transport.budget import DescriptorBudget
 from alderspool.transport.execute_nodes import ExecuteNodePool
@@ -239,8 +240,39 @@
     def time_left_ms(self, claim: Claim) -> float:
         return 1000.0
 
-    def claim_ended(self, claim: Claim, status: int, payload: object = None) -> None:
-        self.ends.put_nowait((claim.number, status))
+    def claim_ended(self, claim: Claim, status: int, answer: ExecuteNodeAnswer | None = None) -> None:
+        self.ends.put_nowait((claim.number, status, answer and answer.body))
+
+
+class OneNode:
+    """A pool with a clock that stands still, and a node that says what it is told to."""
+
+    def __init__(self) -> None:
+        self.ledger, self.now, self.count = Ledger(), 5.0, 0
+        settings = Settings.from_pairs(flatten(SETTINGS | {"bounds": {"dial_timeout_ms": 5000.0}}))
+        self.pool = ExecuteNodePool(self.ledger, settings, DescriptorBudget(64))
+        self.pool._now = lambda: self.now
+        self.server = socket.create_server(("127.0.0.1", 0))
+        self.server.settimeout(LIMIT_S)
+
+    def claim(self) -> int:
+        """Dispatches one; its number."""
+        self.count += 1
+        request = ForwardRequest(b"GET", b"/look", [], b"")
+        self.pool.dispatch(
+            Claim(self.count, self.count, b"s1", *self.server.getsockname(), request, 0.0, 1e9)
+        )
+        return self.count
+
+    async def accept(self) -> socket.socket:
+        return (await asyncio.get_running_loop().run_in_executor(None, self.server.accept))[0]
+
+    async def end(self) -> tuple[int, Status, bytes | None]:
+        return await self.ledger.ends.get()
+
+
+def answer(body: bytes) -> bytes:
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
 
 
 @real
@@ -249,24 +281,46 @@
     paused: float, status: Status
 ) -> None:
     """What is there as soon as a claim is written was sent for another one, unless time went by."""
-    with socket.create_server(("127.0.0.1", 0)) as server:
-        ledger = Ledger()
-        settings = Settings.from_pairs(flatten(SETTINGS | {"bounds": {"dial_timeout_ms": 5000.0}}))
-        pool = ExecuteNodePool(ledger, settings, DescriptorBudget(64))
-        payload = ForwardRequest(b"GET", b"/look", [], b"")
-        first, second = (Claim(n, n, b"s1", *server.getsockname(), payload, 0.0, 1e9) for n in (1, 2))
-        pool.dispatch(first)
-        node, _ = await asyncio.get_running_loop().run_in_executor(None, server.accept)
-        node.sendall(OK)
-        assert await ledger.ends.get() == (1, Status.OK)
-
-        def write_and_meet_an_answer(conn: object, claim: Claim, write=pool._write) -> None:
-            write(conn, claim)
-            node.sendall(OK)  # on the loopback it is there when this returns
-
-        clock = iter((5.0, 5.0 + paused))
-        pool._write, pool._now = write_and_meet_an_answer, lambda: next(clock)
-        pool.dispatch(second)
-        assert await ledger.ends.get() == (2, status)
-        pool.close_idle(b"s1")
-        node.close()
+    node = OneNode()
+    node.claim()
+    line = await node.accept()
+    line.sendall(answer(b"1"))
+    assert await node.end() == (1, Status.OK, b"1")
+
+    def write_and_meet_an_answer(conn: object, claim: Claim, write=node.pool._write) -> None:
+        write(conn, claim)
+        line.sendall(answer(b"2"))  # on the loopback it is there when this returns
+        node.now += paused
+
+    node.now += 1.0  # rested
+    node.pool._write = write_and_meet_an_answer
+    node.claim()
+    assert (await node.end())[:2] == (2, status)
+
+
+@real
+async def test_a_second_answer_some_milliseconds_late_does_not_pass_for_that_of_the_next_claim() -> None:
+    """The next claim follows at once. Until it is known that answers differ, the connection rests and the
+    claim goes out on another one; from then on the last answer over again is known for what it is."""
+    node = OneNode()
+    node.claim()
+    line = await node.accept()
+    line.sendall(answer(b"1"))
+    assert await node.end() == (1, Status.OK, b"1")
+    node.claim()
+    other = await node.accept()
+    line.sendall(answer(b"1"))  # the second copy, met by nobody
+    other.sendall(answer(b"2"))
+    assert await node.end() == (2, Status.OK, b"2")
+    while node.count < 2 + SURE:
+        node.now += 1.0
+        body = b"%d" % node.claim()
+        other.sendall(answer(body))
+        assert await node.end() == (node.count, Status.OK, body)
+    node.now += 0.001
+    node.claim()
+    other.sendall(answer(body))  # the last one's, again
+    assert await node.end() == (node.count, Status.RESET, None)
+    node.claim()
+    (await node.accept()).sendall(answer(b"own"))
+    assert await node.end() == (node.count, Status.OK, b"own")
