Let idle connections to nodes make room for submitters where descriptors run out

Seen with a new test, one proxy, 1,024 nodes of zones, types and groups that nobody named, 256 descriptors: from the 207th request on every second one was refused, WARNING descriptor budget spent: submitters are refused 207 503, 209 503, 212 503, ... (207 connections opened) Each node has a kept connection by then, 207 of the 208 descriptors. Traced: the submitters' part (124) was nearly empty, the whole was full, and only submitters' own idle connections were asked to go. Ruled out: the module (it was never asked), the list (whole, 1,024 lines). At fault: DescriptorBudget.make_room. Now where the whole is full something idle of the other side goes. With that taken out test_a_thousand_nodes_... fails.

More tests of what the issue lists, which held as it was: a hung node that wakes, a pause of 3 s, a move to a discovery that resets, is silent and then has an older version, windows of 1,024 proxies, of 1,024 nodes and of 40 zones.

--- a/alderspool/transport/budget.py
+++ b/alderspool/transport/budget.py
@@ -11,11 +11,14 @@
 
 class DescriptorBudget:
     """Counts one side's sockets. `part` keeps some for the others, so that a flood on one side leaves
-    the other what it needs; at the limit something idle of the same side has to go first."""
+    the other what it needs; at the limit something idle of the same side has to go first. Where not the
+    side is at its limit but the whole, and nothing of it is idle, something idle of the other side goes:
+    a connection kept to each of hundreds of nodes must not keep submitters out."""
 
     def __init__(self, limit: int, whole: DescriptorBudget | None = None) -> None:
         self._limit, self._whole = max(limit, 8), whole
         self._let_go: Callable[[], bool] = lambda: False
+        self._parts: list[DescriptorBudget] = []
         self.held = 0
 
     @classmethod
@@ -24,7 +27,8 @@
 
     def part(self, share: float, most: int | None = None) -> DescriptorBudget:
         limit = int(self._limit * share)
-        return DescriptorBudget(limit if most is None else min(limit, most), self)
+        self._parts.append(DescriptorBudget(limit if most is None else min(limit, most), self))
+        return self._parts[-1]
 
     def on_tight(self, let_go: Callable[[], bool]) -> None:
         """`let_go` closes something idle and says whether there was any."""
@@ -39,7 +43,11 @@
 
     def make_room(self) -> bool:
         """Whether one more socket may be held, after letting go of an idle one where that is needed."""
-        return not self.tight or self._let_go()
+        if not self.tight or self._let_go():
+            return True
+        if self.held >= self._limit or self._whole is None:
+            return False
+        return any(part._let_go() for part in self._whole._parts if part is not self)
 
     def take(self) -> None:
         self.held += 1
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -46,6 +46,24 @@
     assert even - 2 <= min(used.values()) and max(used.values()) <= even + 2
 
 
+@pytest.mark.parametrize(
+    ("proxies", "sizes"),
+    [(230, (10,) * 40), (230, (300, 10)), (1024, (12, 12)), (7, (512, 512)), (1024, (3, 5))],
+)
+def test_at_any_size_every_node_is_used_by_about_as_many_proxies(
+    proxies: int, sizes: tuple[int, ...]
+) -> None:
+    """More zones than anybody has named, many more proxies than nodes, many more nodes than proxies."""
+    entries, used = nodes(*sizes), Counter()
+    for k in range(proxies):
+        d = Driver(number=k, siblings=proxies, seed=k)
+        d.list(*entries)
+        used.update(s.id for s in d.lb.ready)
+    assert len(used) == len(entries)
+    even = sum(used.values()) / len(used)
+    assert even - 3 <= min(used.values()) and max(used.values()) <= even + 3
+
+
 def test_a_window_stays_mostly_the_same_when_a_few_nodes_leave() -> None:
     """What was learned of a node, and the connections to it, are lost with its place in the window."""
     entries = nodes(35, 25)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 
 import pytest
 from rig import SETTINGS, Party, Rig, real
@@ -79,6 +80,36 @@
         assert (len(old.got), len(new.got)) == (0, 4)
 
 
+@real
+async def test_a_move_to_one_that_resets_then_is_silent_then_has_an_older_version() -> None:
+    """The old list holds meanwhile, and whatever its number, the first whole list of the new one counts."""
+
+    def reply(party: Party) -> bytes | None:
+        number = len(party.got)
+        if number == 3:
+            return rig.list_of(new.entry(), index=0, snapshot=True)
+        return b"" if number == 1 else None
+
+    moved = Party("discovery-2", reply)
+    await moved.start()
+    async with Rig(Party("s1"), Party("s2")) as rig:
+        old, new = rig.nodes
+        rig.tell(old.entry(), index=99, snapshot=True)
+        await rig.asked(2)
+        rig.reload(json.dumps(rig.config | {"discovery": f"127.0.0.1:{moved.port}"}))
+        while len(moved.got) < 3:
+            assert (await rig.ask())[0] == 200 and not new.got
+            await asyncio.sleep(0.02)
+        while len(moved.got) < 4:
+            await asyncio.sleep(0.005)
+        before = len(old.got)
+        assert [(await rig.ask())[0] for _ in range(4)] == [200] * 4
+        assert (len(old.got), len(new.got)) == (before, 4)
+        calls = [got[0].split()[1] for got in moved.got]
+        assert calls[:3] == [b"/v1/endpoints"] * 3 and calls[3].startswith(b"/v1/endpoints?since=0&")
+    moved.server.close()
+
+
 class Told:
     """In the exchange's place."""
 
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -38,6 +38,67 @@
         assert len(rig.nodes[0].got) == 1
 
 
+@real
+async def test_a_hung_node_that_wakes_answers_nobody_any_more() -> None:
+    """What it then says to a request long over must not reach the next one that goes there."""
+    wake = asyncio.Event()
+
+    async def hung(party: Party) -> bytes:
+        name = party.got[-1][1]["x-request-id"].encode()
+        if len(party.got) == 1:
+            await wake.wait()
+        return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(name), name)
+
+    async with Rig(Party("s1", hung)) as rig:
+        assert (await rig.ask("pay", wait=300, X_Request_Id="r-1"))[0] == 504
+        wake.set()
+        answers = [await rig.ask("pay", X_Request_Id=f"r-{n}") for n in range(2, 6)]
+        assert [(status, body) for status, _, body in answers] == [(200, b"r-%d" % n) for n in range(2, 6)]
+        assert rig.nodes[0].opened >= 2  # its first connection was given up with the request
+
+
+@real
+async def test_after_a_pause_of_three_seconds_what_is_due_is_answered_and_what_came_is_served() -> None:
+    async with Rig(Party("s1", None), Party("s2")) as rig:
+        due = asyncio.create_task(rig.ask("pay", wait=1000))
+        while not rig.nodes[0].got:
+            if due.done():  # it went to the other one
+                due = asyncio.create_task(rig.ask("pay", wait=1000))
+            await asyncio.sleep(0.005)
+        rig.proxy.send_signal(signal.SIGSTOP)
+        came = [asyncio.create_task(rig.ask("look", wait=20000)) for _ in range(4)]
+        await asyncio.sleep(3.0)
+        rig.proxy.send_signal(signal.SIGCONT)
+        assert (await due)[0] == 504
+        assert {(await answer)[0] for answer in came} == {200}
+
+
+@real
+async def test_a_thousand_nodes_of_zones_types_and_groups_that_nobody_named_are_all_used() -> None:
+    """1,024 lines, at 8 machines; the list comes anew, whole, and with a change."""
+    parties = [Party(f"m{n}") for n in range(8)]
+
+    def lines(status: str = "ready", share: int = 8) -> list[dict]:
+        return [
+            parties[n % 8].entry(
+                name=f"s{n}", zone=f"z{n % 41}", type=f"t{n % 19}", group=n // 5, status=status
+            )
+            for n in range(1024)
+            if n % 8 < share
+        ]
+
+    async with Rig(*parties) as rig:
+        rig.tell(*lines(), index=5, snapshot=True)
+        await rig.asked(2)
+        assert {(await rig.ask("pay"))[0] for _ in range(600)} == {200}
+        assert sum(p.opened for p in parties) > 550  # each went to another node than those before
+        rig.tell(*lines("draining", 7), index=6)
+        await rig.asked(3)
+        before = [len(p.got) for p in parties]
+        assert {(await rig.ask("pay"))[0] for _ in range(50)} == {200}
+        assert [len(p.got) for p in parties[:7]] == before[:7]
+
+
 @real
 async def test_with_no_node_the_refusal_comes_at_once_not_at_the_deadline() -> None:
     """Also without Retry-After: the settings do not let clients be given one."""
