Look whether a submitter is there before each claim, end its connection only after our sending

A link that does not read looks every 50 ms. An end that has not reached this machine, since more than its buffers hold lies in front of it, cannot be seen (75,000 bytes). - SubmitterLink.send and close_if_idle looked, then closed; bytes in between reset the connection, and the answer on its way went with it. `leave` removes the case: sending ends first, what comes is read away, never taken, for 0.5 s or until the submitter ends it too. Only a place that is needed at once is still cut, who leaves anyhow first. - May_write knew a claim's node by its name only: one gone and come again elsewhere while it was dialled got the claim at the old address. - After idle connections gave way a burst of dials opened its sockets before those were closed: it waits one turn.

The submitters of test_histories.py now end a connection that we have ended.

--- a/alderspool/protocol/http_client.py
+++ b/alderspool/protocol/http_client.py
@@ -31,6 +31,7 @@
         self._interim = 0
         self._status = 0
         self._asked = False  # a request is out
+        self._until_end = False  # a body without a length: it is whole as its sender ends the stream
         self.reusable = True  # whether another request may follow on this connection
 
     def compose(
@@ -45,9 +46,13 @@
         return b"%b\r\n%b" % (b"".join(lines), body)
 
     def receive(self, data: bytes) -> Reply | None:
-        """The reply once it is whole; b"" says that the connection has ended."""
+        """The reply once it is whole; b"" says that the sender has ended the stream. A reset is no end, and
+        must not be told as one: half an answer would pass as whole."""
         if not data:
-            raise BrokenReplyError("the connection ended")
+            if not self._until_end or self.fault is not None:
+                raise BrokenReplyError("the connection ended")
+            self.message_done()
+            return self._whole()
         try:
             self.feed(self._parser, data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as fault:
@@ -56,27 +61,31 @@
                 raise BrokenReplyError(str(fault)) from None
         if self._reply is None and self.fault is not None:
             raise BrokenReplyError(self.fault[1])
+        return self._whole()
+
+    def _whole(self) -> Reply | None:
         reply, self._reply = self._reply, None
         return reply
 
     def on_message_begin(self) -> None:
         if not self._asked:  # a second copy of the reply, or what else nobody asked for
             self.reusable = False
+        self._until_end = False
         super().on_message_begin()
 
     def head_done(self) -> None:
         self._status = self._parser.get_status_code()
+        lengths = {name for name, _ in self.headers} & {b"content-length", b"transfer-encoding"}
         if self._status < 200:
             self._interim += 1
             if self._interim > MOST_INTERIM:
                 self.fault = (502, "interim answers without end")
-        elif not any(n in (b"content-length", b"transfer-encoding") for n, _ in self.headers):
-            # Its end could not be told from a break: half an answer must not pass as one.
-            self.fault = (502, "a body without a stated length")
+        elif not lengths:
+            self._until_end, self.reusable = self._asked, False
         elif not self._parser.should_keep_alive():
             self.reusable = False
 
     def message_done(self) -> None:
         if self._asked and self._status >= 200 and self.fault is None:
-            self._asked = False
+            self._asked = self._until_end = False
             self._reply = Reply(self._status, dict(self.headers), self.body)
--- a/alderspool/routing/exchange.py
+++ b/alderspool/routing/exchange.py
@@ -134,15 +134,18 @@
     # ---- the execute nodes' side ---------------------------------------------------------------
 
     def may_write(self, claim: Claim) -> bool:
-        """Asked just before a claim is written: dialling takes time, and a drain may have crossed it."""
+        """Asked just before a claim is written: dialling takes time, and a drain may have crossed it, or its
+        node may be somewhere else by now. The submitter may have left unseen too, its end behind bytes that
+        nobody has read: nothing is owed then, and nothing may go out."""
         owed = self._ledger.get(claim.request_id)
-        return (
-            not claim.ended
-            and owed is not None
-            and not owed.concluded
-            and self._clock.now() < claim.expires_at
-            and self._is_ready(claim.node)
-        )
+        if claim.ended or owed is None or owed.concluded or self._clock.now() >= claim.expires_at:
+            return False
+        if not self._is_there(claim):
+            return False
+        if owed.submission.gone():
+            self.withdraw(claim.request_id)
+            return False
+        return True
 
     def time_left_ms(self, claim: Claim) -> float:
         return claim.expires_at - self._clock.now()
@@ -192,9 +195,13 @@
                 self._nodes.close_idle(name)  # nothing new goes there, or it is reached elsewhere now
         self._feed(api.ServerList(mode, [m.entry for m in told.machines], told.revision))
 
-    def _is_ready(self, node: api.ServerId) -> bool:
-        machine = self._machines.get(node)
-        return machine is not None and machine.entry.availability == api.Availability.READY
+    def _is_there(self, claim: Claim) -> bool:
+        """Whether its node is ready, and still where the claim was to go: one that went and came again
+        elsewhere has left something else at its old address."""
+        machine = self._machines.get(claim.node)
+        if machine is None or machine.entry.availability != api.Availability.READY:
+            return False
+        return (machine.host, machine.port) == (claim.host, claim.port)
 
     # ---- the Balancer: events in, actions out ---------------------------------------------------
 
--- a/alderspool/routing/messages.py
+++ b/alderspool/routing/messages.py
@@ -9,9 +9,14 @@
 from lynxlift import interface as api
 
 
+def _stays() -> bool:
+    return False
+
+
 @dataclass(slots=True)
 class Submission:
-    """One request of a submitter. `payload` is the protocol's own and passes through unread."""
+    """One request of a submitter. `payload` is the protocol's own and passes through unread. `gone`: whether
+    its submitter has left by now; asked just before each claim of it is written."""
 
     cls: int
     tenant: int
@@ -21,6 +26,7 @@
     name: bytes = b""  # the submitter's own id of it, unique among what is open; b"": none
     is_repeat: bool = False
     cost_hint_ms: float = 0.0
+    gone: Callable[[], bool] = _stays
 
 
 @dataclass(slots=True)
--- a/alderspool/transport/execute_nodes.py
+++ b/alderspool/transport/execute_nodes.py
@@ -114,9 +114,14 @@
         return found
 
     async def _dial(self, claim: Claim) -> None:
+        tight = self._budget.tight
         if not self._budget.make_room():
             self._exchange.claim_ended(claim, Status.CONNECT_FAILED)  # no socket to dial with
             return
+        if (
+            tight
+        ):  # what was let go is closed as the loop comes round: else a burst of dials is over the limit
+            await asyncio.sleep(0)
         self._budget.take()
         try:
             try:
@@ -125,6 +130,7 @@
             except (OSError, TimeoutError):
                 self._exchange.claim_ended(claim, Status.CONNECT_FAILED)
                 return
+            claim.carrier = None  # what is withdrawn from here on is not cancelled: this task closes it
             conn = ExecuteNodeConnection(claim.node, (claim.host, claim.port), reader, writer)
             try:
                 if self._exchange.may_write(claim):
@@ -147,15 +153,18 @@
     async def _read(self, conn: ExecuteNodeConnection) -> None:
         """Reads until the connection ends; also while it idles, so that its end is noticed at once."""
         while True:
+            reset = False
             try:
                 data = await conn.reader.read(READ_SIZE)
             except OSError:
-                data = b""
+                data, reset = b"", True
             claim = conn.claim
             if claim is None:  # it ended while idle, was withdrawn, or the node says what nobody asked
                 self._forget(conn)
                 return
             try:
+                if reset:  # no end of the stream: a reply without a length is cut by it
+                    raise BrokenReplyError("reset")
                 reply = conn.wire.receive(data)
             except BrokenReplyError:
                 self._end(conn, claim, Status.RESET)
--- a/alderspool/transport/listener.py
+++ b/alderspool/transport/listener.py
@@ -26,7 +26,7 @@
 from alderspool.routing.exchange import Exchange
 from alderspool.routing.messages import FinalAnswer
 from alderspool.transport.budget import KEPT_SHARE, DescriptorBudget
-from alderspool.transport.streams import READ_SIZE, CountingReader, bound_reads, is_quiet
+from alderspool.transport.streams import READ_SIZE, CountingReader, bound_reads, has_ended, is_quiet
 from alderspool.transport.turned_away import TurnedAway
 
 BACKLOG = 1024
@@ -38,13 +38,16 @@
 PATIENCE_S = 2.1
 # Who has just connected did so in order to ask: in the ending its connection is kept this long for that.
 NEWCOMER_S = 0.3
+# Who leaves is read away for so long, and so much of it, or until its submitter ends the connection too.
 LINGER_S, LINGER_BYTES = 0.5, 1 << 18
+LOOK_S = 0.05  # whether a submitter that we do not read from is still there is looked at this often
 SWEEP_S = 0.2
 ACCEPT_AGAIN_S = 0.01
 
 
 class SubmitterLink:
-    """One submitter's connection."""
+    """One submitter's connection. It takes requests, one at a time, until it leaves: then our sending has
+    ended, and what still comes is read away and never taken."""
 
     def __init__(self, listener: Listener, reader: CountingReader, writer: asyncio.StreamWriter) -> None:
         self._listener, self.reader, self.writer = listener, reader, writer
@@ -55,9 +58,9 @@
         self.served = False  # it has had an answer, so it is no mere connection
         self.answered = asyncio.Event()
         self.since = listener.loop.time()  # see PATIENCE_S
-        self.over = False  # nothing more is taken
+        self.over = False  # it leaves: see leave
+        self.left = LINGER_BYTES  # to be read away at most
         self.spared = False  # see break_off
-        self.lingers = False  # what still comes is read away, until its submitter ends it too
 
     def answer(self, final: FinalAnswer) -> None:
         self.busy, self.request_id = False, 0
@@ -74,15 +77,40 @@
         out, ended = self.wire.compose(status, body, headers, close)
         self.writer.write(out)
         if ended:
-            self.over = True
-            # Closing over what nobody has read resets the connection, and the answer would be lost with it.
-            if last or not is_quiet(self.reader, self.writer):
-                self.lingers = True
-                self.writer.write_eof()
-            else:
-                self.writer.close()
+            self.leave()
         self.answered.set()
 
+    def leave(self) -> None:
+        """Ends our sending. Closing over bytes that nobody has read resets the connection, and an answer on
+        its way goes with it; bytes may come between any look and the close. So we never close first where
+        one may be on its way: what comes is read away until the submitter ends the connection too."""
+        if not self.over:
+            self.over, self.since = True, self._listener.loop.time()
+            self._listener.forget_asked(self)
+            try:
+                self.writer.write_eof()
+            except OSError:
+                pass  # it has gone
+            self.answered.set()
+
+    def cut(self) -> None:
+        """Ends a connection that has left, or that never had an answer, whatever may be unread."""
+        self.over = True
+        self.writer.close()
+
+    def sweep(self, now: float) -> None:
+        """Who leaves and does not go, or does not read its last answer, is let go."""
+        unread = self.writer.transport.get_write_buffer_size()
+        if now - self.since > PATIENCE_S:
+            self.writer.transport.abort()
+        elif now - self.since > LINGER_S and not unread:
+            self.cut()
+
+    def gone(self) -> bool:
+        """Whether its submitter has left, or ended its sending, which is the same: seen also where we do not
+        read because an earlier request of it is out, or its end lies behind what is unread."""
+        return has_ended(self.reader, self.writer)
+
     @property
     def more(self) -> bool:
         """Whether something of a request has come that is not taken yet."""
@@ -96,8 +124,7 @@
         """Never ends a connection that holds a request, not even one that nobody has read yet."""
         if not self.idle or not is_quiet(self.reader, self.writer):
             return False
-        self.over = True
-        self.writer.close()
+        self.leave()
         return True
 
     def break_off(self) -> bool:
@@ -111,11 +138,7 @@
         rejection = None if self.over else self.wire.too_slow()
         if rejection is not None:
             self.send(*rejection_http(rejection), last=True)
-        self.over = True
-        if self.writer.transport.get_write_buffer_size():
-            self.writer.transport.abort()
-        else:
-            self.writer.close()
+        self.leave()
         return True
 
 
@@ -179,6 +202,10 @@
             if not link.busy and not link.over and not link.close_if_idle():
                 link.break_off()
 
+    def forget_asked(self, link: SubmitterLink) -> None:
+        self._asked -= link.asked
+        link.asked = False
+
     def abandon(self) -> None:
         """Lets go of whoever has not read its answer by now."""
         for link in list(self._links):
@@ -248,14 +275,12 @@
     async def _serve(self, link: SubmitterLink) -> None:
         try:
             await self._converse(link, link.reader)
-            if link.lingers:
-                await self._linger(link.reader)
         except OSError:  # reset by the submitter: it went away
             pass
         except Exception as fault:  # whatever it sent, it must not cost more than its own connection
             self._warn(f"a submitter's connection failed: {fault!r}")
         finally:
-            self._asked -= link.asked
+            self.forget_asked(link)
             if link.busy:
                 link.busy = False
                 self._exchange.withdraw(link.request_id)
@@ -271,20 +296,31 @@
 
     async def _converse(self, link: SubmitterLink, reader: CountingReader) -> None:
         wire = link.wire
-        while not link.over:
-            step = wire.next()
+        while True:
+            step = NEED_DATA if link.over else wire.next()
             if step is NEED_DATA:
                 # Read also while its request is out: that is how we notice that it went away.
                 was_idle = link.idle
                 data = await reader.read(READ_SIZE)
                 if not data:
                     return
+                if link.over:  # perhaps since we began to read: never taken, for we answer no more
+                    link.left -= len(data)
+                    if link.left < 0:
+                        return
+                    continue
                 if was_idle and link.served:
                     link.since = self.loop.time()
                 wire.receive(data)
             elif step is PAUSED:  # it sent its next request before the answer: that has to wait
                 link.answered.clear()
-                await link.answered.wait()
+                while not link.answered.is_set():
+                    try:
+                        async with asyncio.timeout(LOOK_S):
+                            await link.answered.wait()
+                    except TimeoutError:
+                        if link.gone():
+                            return
             elif step is CONTINUE:
                 link.writer.write(wire.go_on())
             elif step is ENDED:
@@ -293,7 +329,7 @@
                 rejection = step if isinstance(step, Rejection) else self._take(link, step)
                 if rejection is not None:
                     link.send(*rejection_http(rejection), last=True)
-                    return
+                    continue
                 await link.writer.drain()  # who does not read its answers must not fill the memory
 
     def _take(self, link: SubmitterLink, raw: RawRequest) -> Rejection | None:
@@ -309,38 +345,32 @@
         else:
             self._asked += not link.asked
             link.asked = link.busy = True
+            request.gone = link.gone
             request_id = self._exchange.submit(request, link.answer)
             link.request_id = request_id if link.busy else 0
         return None
 
-    async def _linger(self, reader: CountingReader) -> None:
-        """Closing over unread bytes resets the connection, and the answer would be lost with it."""
-        left = LINGER_BYTES
-        try:
-            async with asyncio.timeout(LINGER_S):
-                while left > 0 and (data := await reader.read(READ_SIZE)):
-                    left -= len(data)
-        except TimeoutError:
-            pass
-
     # ---- keeping the number of sockets down ------------------------------------------------------
 
     def _drop_one(self) -> bool:
-        """Lets go of one that holds no request: first who never sent one, then who sent half of one,
-        then the longest idle, whose submitter asks again on a new connection."""
-        free = [link for link in self._links if not link.busy and not link.over]
-        free.sort(key=lambda link: (link.served, link.wire.idle, link.since))
+        """Lets go of one that holds no request: first who leaves anyhow, then who never sent one, then who
+        sent half of one, then the longest idle, whose submitter asks again on a new connection. Its place
+        is needed now, so it is cut; what it was answered has long arrived."""
+        free = [link for link in self._links if not link.busy]
+        free.sort(key=lambda link: (not link.over, link.served, link.wire.idle, link.since))
         for link in free:
-            if link.wire.idle and not link.close_if_idle():
-                continue  # a request is just coming in
-            if link.over or link.break_off():
+            if link.over or link.close_if_idle() or not link.wire.idle and link.break_off():
+                link.cut()
                 return True
         return False
 
     def _sweep(self) -> None:
         self.loop.call_later(SWEEP_S, self._sweep)
-        oldest = self.loop.time() - PATIENCE_S
+        now = self.loop.time()
+        oldest = now - PATIENCE_S
         for link in list(self._links):
-            if link.since < oldest and not link.busy and not link.close_if_idle():
+            if link.over:
+                link.sweep(now)
+            elif link.since < oldest and not link.busy and not link.close_if_idle():
                 if not link.idle:
                     link.break_off()
--- a/tests/test_histories.py
+++ b/tests/test_histories.py
@@ -70,6 +70,7 @@
                 self.closed = self.closed or headers.get("connection") == "close"
         except (asyncio.IncompleteReadError, OSError):
             self.closed = True
+            self.writer.close()  # as who sees the end of its connection does
 
 
 class History:
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -177,6 +177,13 @@
     (OK.replace(b"200", b"204"), Status.ERROR),
     (OK.replace(b"200", b"302"), Status.ERROR),
     (OK.replace(b"200", b"500"), Status.ERROR),
+    (OK.replace(b"Content-Length: 4\r\n", b""), Status.OK),
+    (NOT_RUN.replace(b"Content-Length: 0\r\n", b""), Status.REJECTED),
+    (OK.replace(b"Content-Length: 4\r\n", b"") + b"x" * 70000, None),
+    (
+        OK.replace(b"Content-Length: 4", b"Transfer-Encoding: chunked").replace(b"done", b"4\r\ndone\r\n"),
+        None,
+    ),
     (OK[:-1], None),
     (OK.replace(b"4", b"70000"), None),
     (b"SSH-2.0-OpenSSH\r\n", None),
