Count a connection that is closed already as no further room: descriptors ran over in a flood

Who leaves goes first, and one that was cut stays in the list until its coroutine has ended: it was let go again for each newcomer, and each was let in. Ruled out: discovery's own calls and the reading of the configuration (two descriptors), the execute nodes' side (three).

The ending is also held to deadlines of 300 ms, with an upper bound on when the last answer comes.

--- a/alderspool/transport/listener.py
+++ b/alderspool/transport/listener.py
@@ -356,7 +356,8 @@
         """Lets go of one that holds no request: first who leaves anyhow, then who never sent one, then who
         sent half of one, then the longest idle, whose submitter asks again on a new connection. Its place
         is needed now, so it is cut; what it was answered has long arrived."""
-        free = [link for link in self._links if not link.busy]
+        # What is closed already makes no further room: it would be let go again and again.
+        free = [link for link in self._links if not link.busy and not link.writer.transport.is_closing()]
         free.sort(key=lambda link: (not link.over, link.served, link.wire.idle, link.since))
         for link in free:
             if link.over or link.close_if_idle() or not link.wire.idle and link.break_off():
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -91,6 +91,16 @@
         return {"name": self.name, "address": f"127.0.0.1:{self.port}"} | line | self.line | changes
 
 
+async def calls_until(place: Party, part: bytes) -> list[bytes]:
+    """What it was asked, up to the first call that has this in it."""
+    while True:
+        calls = [got[0].split()[1] for got in place.got]
+        for n, call in enumerate(calls):
+            if part in call:
+                return calls[: n + 1]
+        await asyncio.sleep(0.005)
+
+
 class Rig:
     """Discovery, execute nodes and the proxy, started together."""
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import os
 import signal
 import socket
 import struct
 from collections.abc import Callable
 
 import pytest
-from rig import NOT_RUN, OK, SETTINGS, Party, Rig, read_message, real, request
+from rig import NOT_RUN, OK, SETTINGS, Party, Rig, calls_until, read_message, real, request
 
 NO_LENGTH = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
 
@@ -230,3 +232,66 @@
         for reader, _ in kept:
             assert await reader.read() == b""
         assert await asyncio.wait_for(rig.proxy.wait(), 3.0) == 0  # though none of them has gone
+
+
+# ---- descriptors -----------------------------------------------------------------------------------------
+
+
+@real
+async def test_idle_submitters_on_every_descriptor_keep_neither_news_nor_claims_nor_a_move_out() -> None:
+    """The rig allows 256. Whoever is let go comes again at once, while discovery goes down, is back with a
+    drain, and the configuration moves elsewhere. Who was let go before its request was read asks again."""
+    down = asyncio.Event()
+    moved = Party("discovery-2", lambda party: None if len(party.got) > 1 else whole)
+    await moved.start()
+
+    async def idle() -> None:
+        while True:
+            try:
+                reader, writer = await asyncio.open_connection("127.0.0.1", rig.port)
+                await reader.read()
+                writer.close()
+            except OSError:
+                pass
+
+    def reply(party: Party) -> bytes | None:
+        if down.is_set():
+            return b""
+        back = b"timeout_ms=1 " in party.got[-1][0] and len(party.got) > 3
+        return rig.list_of(old.entry(status="draining"), index=9) if back else None
+
+    rig = Rig(Party("s1"), Party("s2"), Party("s3"))
+    rig.discovery.reply = reply
+    old, new, newest = rig.nodes
+    async with rig:
+        whole = rig.list_of(newest.entry(), index=1, snapshot=True)
+        crowd = [asyncio.create_task(idle()) for _ in range(300)]
+        held: list[int] = []
+
+        async def ask(n: int) -> list[int]:
+            told = []
+            while len(told) < n:
+                held.append(len(os.listdir(f"/proc/{rig.proxy.pid}/fd")))
+                try:
+                    told.append((await rig.ask("pay"))[0])
+                except (OSError, asyncio.IncompleteReadError):
+                    pass
+            return told
+
+        while not held or held[-1] < 120:
+            assert await ask(1) in ([200], [503])
+        down.set()
+        assert 200 in await ask(6)
+        down.clear()
+        await calls_until(rig.discovery, b"since=9&")
+        before = len(old.got)
+        assert 200 in await ask(6) and len(old.got) == before
+        rig.reload(json.dumps(rig.config | {"discovery": f"127.0.0.1:{moved.port}"}))
+        await calls_until(moved, b"since=1&")
+        before = len(old.got), len(new.got)
+        assert 200 in await ask(6) and (len(old.got), len(new.got)) == before
+        assert max(held) <= 256
+        for task in crowd:
+            task.cancel()
+        await asyncio.gather(*crowd, return_exceptions=True)
+    moved.server.close()
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -7,7 +7,7 @@
 import time
 
 import pytest
-from rig import SETTINGS, Party, Rig, real
+from rig import SETTINGS, Party, Rig, calls_until, real
 
 from alderspool.program.config import flatten
 from alderspool.transport import discovery
@@ -22,16 +22,6 @@
     return {"rules": SETTINGS["rules"] | {"ask_within_ms": 1000.0 * term_s}}
 
 
-async def calls_until(place: Party, part: bytes) -> list[bytes]:
-    """What it was asked, up to the first call that has this in it."""
-    while True:
-        calls = [got[0].split()[1] for got in place.got]
-        for n, call in enumerate(calls):
-            if part in call:
-                return calls[: n + 1]
-        await asyncio.sleep(0.005)
-
-
 @real
 async def test_what_the_agent_has_is_known_before_anybody_is_let_in() -> None:
     """The list in the configuration is old: s1, ready there, drains. The agent takes a while to say so."""
--- a/tests/test_ending.py
+++ b/tests/test_ending.py
@@ -32,7 +32,7 @@
 
 
 @real
-@pytest.mark.parametrize("longest", [2000.0, 20000.0])
+@pytest.mark.parametrize("longest", [300.0, 2000.0, 20000.0])
 async def test_what_no_node_answers_is_answered_before_sigkill_may_come(longest: float) -> None:
     """One taken before SIGTERM and one while the door is open, at a hung node, with time left beyond the
     end; 3 s stand for a longer deadline."""
@@ -45,7 +45,11 @@
         within = await asked(rig, request("pay", 60000))
         for reader, _ in (before, within):
             assert await status_of(reader) == 504  # it may have run: no refusal
-        assert time.monotonic() - told > DOOR_S + 1.0  # not sooner than needed
+        took = time.monotonic() - told
+        assert took > DOOR_S + 0.5 * min(longest, 3000.0) / 1000.0  # not sooner than needed
+        assert (
+            took < DOOR_S + min(longest, 3000.0) / 1000.0 + 0.5
+        )  # a busy machine must not change the verdict
         assert await rig.proxy.wait() == 0
 
 
