--- a/alderspool/protocol/http_client.py
+++ b/alderspool/protocol/http_client.py
@@ -45,11 +45,11 @@
             lines.append(b"Content-Length: %d\r\n" % len(body))
         return b"%b\r\n%b" % (b"".join(lines), body)
 
-    def receive(self, data: bytes) -> Reply | None:
-        """The reply once it is whole; b"" says that the sender has ended the stream. A reset is no end, and
-        must not be told as one: half an answer would pass as whole."""
+    def receive(self, data: bytes | None) -> Reply | None:
+        """The reply once it is whole; b"" says that the sender has ended the stream, None that the connection
+        was reset, which is no end: half an answer would pass as whole."""
         if not data:
-            if not self._until_end or self.fault is not None:
+            if data is None or not self._until_end or self.fault is not None:
                 raise BrokenReplyError("the connection ended")
             self.message_done()
             return self._whole()
@@ -75,12 +75,11 @@
 
     def head_done(self) -> None:
         self._status = self._parser.get_status_code()
-        lengths = {name for name, _ in self.headers} & {b"content-length", b"transfer-encoding"}
         if self._status < 200:
             self._interim += 1
             if self._interim > MOST_INTERIM:
                 self.fault = (502, "interim answers without end")
-        elif not lengths:
+        elif not any(n in (b"content-length", b"transfer-encoding") for n, _ in self.headers):
             self._until_end, self.reusable = self._asked, False
         elif not self._parser.should_keep_alive():
             self.reusable = False
--- a/alderspool/routing/exchange.py
+++ b/alderspool/routing/exchange.py
@@ -137,10 +137,10 @@
         """Asked just before a claim is written. Dialling takes time: a drain may have crossed it, its node
         may be elsewhere, or the time be over in which a repeat is harmless. The submitter may have left
         unseen too, its end behind bytes that nobody has read: nothing is owed then."""
-        owed = self._ledger.get(claim.request_id)
-        if claim.ended or owed is None or owed.concluded or self._clock.now() >= claim.expires_at:
+        owed, now = self._ledger.get(claim.request_id), self._clock.now()
+        if claim.ended or owed is None or owed.concluded or now >= claim.expires_at:
             return False
-        if not self._is_there(claim) or not self._balancer.may_begin(self._clock.now(), claim.request_id):
+        if not self._is_there(claim) or not self._balancer.may_begin(now, claim.request_id):
             return False
         if owed.submission.gone():
             self.withdraw(claim.request_id)
--- a/alderspool/transport/discovery.py
+++ b/alderspool/transport/discovery.py
@@ -14,6 +14,7 @@
 from alderspool.transport.streams import connect, read_reply
 from lynxlift.interface import Settings
 
+TOLD_S = 6.0  # the protocol page: whatever discovery has to tell counts as told so long after
 AT_ONCE_MS = 1
 # A watch goes on if the next call comes within 0.2 s. One that is answered before its time with nothing new
 # is asked again after this: a discovery that does not wait must not be stormed.
@@ -48,9 +49,6 @@
         return cls(*(share * whole for share in shares))
 
 
-TOLD_S = 6.0  # the protocol page: whatever discovery has to tell counts as told so long after
-
-
 class Asking(Enum):
     WHOLE = "whole"  # nothing of this discovery's list is held: all of it is asked for
     ANEW = "anew"  # no watch is open: what is newer than our version is asked for, at once
--- a/alderspool/transport/execute_nodes.py
+++ b/alderspool/transport/execute_nodes.py
@@ -153,18 +153,15 @@
     async def _read(self, conn: ExecuteNodeConnection) -> None:
         """Reads until the connection ends; also while it idles, so that its end is noticed at once."""
         while True:
-            reset = False
             try:
                 data = await conn.reader.read(READ_SIZE)
             except OSError:
-                data, reset = b"", True
+                data = None
             claim = conn.claim
             if claim is None:  # it ended while idle, was withdrawn, or the node says what nobody asked
                 self._forget(conn)
                 return
             try:
-                if reset:  # no end of the stream: a reply without a length is cut by it
-                    raise BrokenReplyError("reset")
                 reply = conn.wire.receive(data)
             except BrokenReplyError:
                 self._end(conn, claim, Status.RESET)
--- a/alderspool/transport/listener.py
+++ b/alderspool/transport/listener.py
@@ -93,23 +93,18 @@
                 pass  # it has gone
             self.answered.set()
 
-    def cut(self) -> None:
-        """Ends a connection that has left, or that never had an answer, whatever may be unread."""
-        self.over = True
-        self.writer.close()
-
     def sweep(self, now: float) -> None:
         """Who leaves and does not go, or does not read its last answer, is let go."""
         unread = self.writer.transport.get_write_buffer_size()
         if now - self.since > PATIENCE_S:
             self.writer.transport.abort()
         elif now - self.since > LINGER_S and not unread:
-            self.cut()
+            self.writer.close()
 
     def gone(self) -> bool:
         """Whether its submitter has left, or ended its sending, which is the same: seen also where we do not
         read because an earlier request of it is out, or its end lies behind what is unread."""
-        return has_ended(self.reader, self.writer)
+        return has_ended(self.writer)
 
     @property
     def more(self) -> bool:
@@ -361,7 +356,7 @@
         free.sort(key=lambda link: (not link.over, link.served, link.wire.idle, link.since))
         for link in free:
             if link.over or link.close_if_idle() or not link.wire.idle and link.break_off():
-                link.cut()
+                link.writer.close()
                 return True
         return False
 
--- a/alderspool/transport/streams.py
+++ b/alderspool/transport/streams.py
@@ -15,20 +15,11 @@
     """A stream reader that knows what has come in and was not yet read."""
 
     unread = 0
-    ended = False  # the other side ends its sending, or the connection is gone
 
     def feed_data(self, data: bytes) -> None:
         self.unread += len(data)
         super().feed_data(data)
 
-    def feed_eof(self) -> None:
-        self.ended = True
-        super().feed_eof()
-
-    def set_exception(self, exc: Exception) -> None:
-        self.ended = True
-        super().set_exception(exc)
-
     async def read(self, n: int = -1) -> bytes:
         data = await super().read(n)
         self.unread -= len(data)
@@ -59,10 +50,10 @@
     return not poll.poll(0)
 
 
-def has_ended(reader: CountingReader, writer: asyncio.StreamWriter) -> bool:
+def has_ended(writer: asyncio.StreamWriter) -> bool:
     """Whether the other side has ended its sending or is gone: seen also behind bytes that nobody has
     read yet, and where nobody is reading."""
-    if reader.ended or writer.transport.is_closing():
+    if writer.transport.is_closing():
         return True
     poll = select.poll()
     poll.register(writer.get_extra_info("socket").fileno(), ENDED)
