Replace three cases of the cold-node sum that could not fail

With ten times the budget in _refresh the cases of factor 4.0 and 0.3 passed (3 failed, 3 passed): what is asked there never reaches N. They are now 2.5 and 0.1: all six pass, and all six fail with ten times the budget.

--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -214,7 +214,7 @@
     return sent
 
 
-@pytest.mark.parametrize(("factor", "least"), [(4.0, 0.3), (2.0, 0.1)])
+@pytest.mark.parametrize(("factor", "least"), [(2.5, 0.1), (2.0, 0.1)])
 @pytest.mark.parametrize(("proxies", "warm", "cold"), [(20, 12, 4), (30, 20, 8), (200, 100, 40)])
 def test_what_all_processes_send_to_cold_nodes_together_stays_under_what_is_put_down_to_chance(
     proxies: int, warm: int, cold: int, factor: float, least: float
