--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -7,7 +7,7 @@
 import time
 
 import pytest
-from rig import SETTINGS, Party, Rig, calls_until, real
+from rig import BARE_503, SETTINGS, Party, Rig, calls_until, real
 
 from alderspool.program.config import flatten
 from alderspool.transport import discovery
@@ -15,7 +15,6 @@
 
 AGENT = {"discovery": "pushed"}
 TERM_S = 2.0  # within which a change counts as told, in some tests: a third of the pages', to be quick
-BARE_503 = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
 
 
 def within(term_s: float) -> dict:
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -8,11 +8,10 @@
 import time
 
 import pytest
-from rig import NOT_RUN, OK, SETTINGS, Party, Rig, real, request
+from rig import BARE_503, NOT_RUN, OK, SETTINGS, Party, Rig, real, request
 
 ERROR = b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n"
 CHUNKED = b"HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
-BARE_503 = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
 
 
 async def dead() -> Party:
