Wait before the whole list is asked for where versions go back: it was a storm

Found by reading discovery.py again, then caused with a scripted discovery whose whole lists are of version 40 and whose changes are of version 1: 537 calls in a second. At fault: _ask, which returned as after an answer, so that nothing waited. It now is a failed call, with the drawn wait of 0.15 s and more; the state alone says what comes next, and a variable of _watch is gone. Without the raise test_versions_that_go_back_... fails (537 <= 20); with it 3 of 3 runs of the file hold.

--- a/alderspool/transport/discovery.py
+++ b/alderspool/transport/discovery.py
@@ -10,6 +10,7 @@
 
 from alderspool.protocol import machine_list
 from alderspool.protocol.http_client import Reply
+from alderspool.protocol.machine_list import MachineListError
 from alderspool.routing.exchange import Exchange
 from alderspool.transport.streams import connect, read_reply
 from lynxlift.interface import Settings
@@ -137,14 +138,13 @@
         line, failures = DiscoveryConnection(place, self._term.dial), 0
         try:
             while True:
-                watched = self._asking is Asking.WATCH
                 try:
                     await self._ask(line)
                     failures = 0
                     continue
                 except Exception as fault:  # of any kind: an asking that ended here would never be missed
                     line.drop()
-                    if watched:
+                    if self._asking is Asking.WATCH:
                         self._asking = Asking.ANEW
                         if isinstance(fault, TimeoutError):
                             continue  # fallen silent: what it missed is asked for before it counts as told
@@ -178,7 +178,7 @@
         if asking is not Asking.WHOLE and told.revision < before:
             # Not the one that we knew, or it has lost its memory: its versions tell us nothing by now.
             self._asking = Asking.WHOLE
-            return
+            raise MachineListError(f"version {told.revision} after {before}")
         self._exchange.list_told(told)
         self._revision, self._asking = told.revision, Asking.WATCH
         self._heard.set()
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -140,6 +140,25 @@
         assert (len(old.got), len(new.got)) == (0, 6)
 
 
+@real
+async def test_versions_that_go_back_each_time_do_not_make_a_storm_of_calls() -> None:
+    """Two that do not know of each other may answer in turn: whole lists of 40, changes of 1."""
+
+    def reply(party: Party) -> bytes:
+        whole = b"since=" not in party.got[-1][0]
+        return Rig.list_of(None, index=40 if whole else 1, snapshot=whole)
+
+    confused = Party("discovery", reply)
+    await confused.start()
+    settings = Settings.from_pairs(flatten(SETTINGS))
+    client = discovery.DiscoveryClient(("127.0.0.1", confused.port), Told(), settings, 40)
+    client.watch(True)
+    await asyncio.sleep(1.0)
+    client.watch(False)
+    assert 4 <= len(confused.got) <= 20  # two for each wait of 0.15 s or more
+    confused.server.close()
+
+
 @real
 async def test_no_fault_of_any_kind_ends_the_asking() -> None:
     """Whoever takes the list in fails with what nobody expected: the same news is asked for again."""
