--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Build, test, lint and run. CI runs `make test` by way of .ci/run.
 PYTHON = .venv/bin/python
-CODE = alderspool benchmarks lynxlift tests
+CODE = alderspool benchmarks tests
 
 .PHONY: build demo test lint format run
 
--- a/alderspool/__init__.py
+++ b/alderspool/__init__.py
@@ -1,3 +1,3 @@
-"""alderspool: a real load-balancing proxy on sockets, round the decisions of lynxlift."""
+"""alderspool: a real load-balancing proxy on sockets, round the decisions of alderspool.balancer."""
 
 __version__ = "0.1.0"
--- a/lynxlift/rules.py
+++ b/alderspool/balancer/balancer.py
@@ -1,4 +1,4 @@
-"""Every decision of the load balancer. Types, events and actions: lynxlift/interface.py.
+"""Every decision of the load balancer. Its settings, events and actions are in the modules beside it.
 
 It learns a speed figure per server and class, blends them by its own class mix into weights, W(i) = sum of
 share_c * P_c(i), and spreads requests by an interleaved weighted rotation (credits). All else is an exception
@@ -12,7 +12,36 @@
 from math import exp, inf
 from random import Random
 
-from lynxlift import interface as api
+from alderspool.balancer.actions import (
+    Action,
+    Cancel,
+    CloseIdle,
+    Fail,
+    Log,
+    Reject,
+    Send,
+    SendToPeer,
+    SetTimer,
+    Watch,
+)
+from alderspool.balancer.events import (
+    NEVER_RAN,
+    AttemptStatus,
+    Availability,
+    ClientDisconnected,
+    EndpointEntry,
+    EndpointId,
+    EndpointListUpdate,
+    Event,
+    HealthChecked,
+    Outcome,
+    PeerMessage,
+    Request,
+    ResponseStarted,
+    TimerFired,
+    UpdateMode,
+)
+from alderspool.balancer.settings import DeduplicationScope, Idempotency, Settings
 
 # ---- tuning constants: none is fitted to one deployment; times in ms -----------------------
 REFRESH = 100.0  # weights are rebuilt this often: far under human time, rare enough to be cheap
@@ -91,21 +120,21 @@
 LOG_LINES = 60  # log lines per life of an instance
 
 T_TICK, T_HEDGE, T_WATCH, T_PEERS, T_TURN = range(5)  # low bits of a timer token; request id above
-ERROR, OK, REJECTED, TIMEOUT, CONNECT_FAILED, RESET, CANCELLED, NEVER_SENT = range(8)  # api.Status
+ERROR, OK, REJECTED, TIMEOUT, CONNECT_FAILED, RESET, CANCELLED, NEVER_SENT = range(8)  # AttemptStatus
 
 
 Flow = tuple[int, int]  # class and tenant; -1: all
 
 
-def _told(s: Server) -> bytes:
+def _told(s: EndpointState) -> bytes:
     return s.id + bytes((min(s.inflight, 255),))
 
 
-class Server:
+class EndpointState:
     """What this instance knows of one server."""
 
-    def __init__(self, entry: api.ServerEntry, groups: int) -> None:
-        self.id: api.ServerId = entry.id
+    def __init__(self, entry: EndpointEntry, groups: int) -> None:
+        self.id: EndpointId = entry.id
         self.served, self.busy = [0.0] * groups, [0.0] * groups  # EWMA sums per class: served, time in flight
         self.spent = [0.0] * groups  # busy with the time of open attempts
         self.open, self.open_at = [0] * groups, [0.0] * groups  # open attempts, sum of their send times
@@ -127,17 +156,17 @@
         self.size, self.cell, self.zone = 0.0, 0, 0
 
 
-class Line(list["Job"]):
+class Line(list["RequestState"]):
     """Requests of one key that must run one at a time, in the order in which they came."""
 
     rest_until = -inf  # an attempt may still be running until then, though its outcome is told
 
 
-class Job:
+class RequestState:
     """A request that still owes its final answer, or has attempts out."""
 
     def __init__(
-        self, request: api.Request, group: int, now: float, aim: float, hold: float, quantum: float
+        self, request: Request, group: int, now: float, aim: float, hold: float, quantum: float
     ) -> None:
         self.id, self.cls, self.group = request.id, request.cls, group
         self.aim, self.hold_until, self.part_until = now + aim, now + hold, now + PART_HOLD * aim
@@ -146,8 +175,8 @@
         self.deadline = now + request.time_left_ms
         self.end = self.deadline - TICK - 2 * quantum  # the last moment for a final answer of our own
         # Server, sent at, load, idle, place among those sent there; None: ended.
-        self.tries: list[tuple[Server, float, int, float, int] | None] = []
-        self.used: list[api.ServerId] = []
+        self.tries: list[tuple[EndpointState, float, int, float, int] | None] = []
+        self.used: list[EndpointId] = []
         self.open, self.finished = 0, False
         self.line: Line | None = None  # where order is kept: that of its key
         self.in_line = False  # waits there for its turn
@@ -156,14 +185,14 @@
 
 
 class Balancer:
-    def __init__(self, settings: api.Settings, seed: int) -> None:
+    def __init__(self, settings: Settings, seed: int) -> None:
         self.cfg = settings
         self.random, self.log_left = Random(seed), LOG_LINES
-        self.now, self.out = 0.0, list[api.Action]()
-        self.servers: dict[api.ServerId, Server] = {}
-        self.ready = list[Server]()  # the ready servers that this instance uses
+        self.now, self.out = 0.0, list[Action]()
+        self.servers: dict[EndpointId, EndpointState] = {}
+        self.ready = list[EndpointState]()  # the ready servers that this instance uses
         self.listed = self.bad = self.watch_failures = 0
-        n, least_aim = len(settings.classes), min(c.aim_ms for c in settings.classes)
+        n, least_aim = len(settings.classes), min(c.latency_objective_ms for c in settings.classes)
         self.hinted, self.mean_hint = n == 1, 0.0  # one class: the cost hint splits it in two
         self.groups = 2 if self.hinted else n
         self.alike = [
@@ -171,46 +200,50 @@
         ] * n  # share of requests in calm times that have about as much; else taken for later tries
         self.given_up_at = -inf
         self.first_try = [0.0] * n  # the longest time a client of the class gives one try
-        self.mix = [MIX_PRIOR * least_aim / c.aim_ms for c in settings.classes] + [1e-6] * self.hinted
-        self.usual = [c.aim_ms / 4.0 for c in settings.classes] * (2 if self.hinted else 1)
+        self.mix = [MIX_PRIOR * least_aim / c.latency_objective_ms for c in settings.classes] + [
+            1e-6
+        ] * self.hinted
+        self.usual = [c.latency_objective_ms / 4.0 for c in settings.classes] * (2 if self.hinted else 1)
         self.quick = [u / 2.0 for u in self.usual]  # latency with hardly any wait
         self.long = [False] * self.groups  # classes kept apart
         self.lat_sum, self.lat_n = [0.0] * self.groups, [0.0] * self.groups
         self.mean_usual = sum(self.usual) / self.groups
         self.arrived = self.arrived_now = 0.0  # EWMA of arriving work, in usual requests per ms
-        self.planned = sum(t.quota_rps for t in settings.tenants) / 1000.0 / settings.siblings  # a mean part
+        self.planned = (
+            sum(t.quota_rps for t in settings.tenants) / 1000.0 / settings.instance_count
+        )  # a mean part
         self.width = inf  # servers that it uses
         self.born, self.refreshed = 0.0, -inf
         self.mean_size, self.carried = 1.0, 0.0  # work per ms and size that warm servers are seen to do
         self.knee, self.patient = LIMIT_START, False  # concurrency limit of a mean server; only late counts
         self.bare_since = self.rest_until = -inf
-        self.awake: Server | None = None  # goes on while all others rest, and rests after them
+        self.awake: EndpointState | None = None  # goes on while all others rest, and rests after them
         self.relief = 1.0  # EWMA of its latency over the usual one meanwhile
         self.room, self.sharers = inf, 1.0  # limit of all servers together; instances that use the same ones
         self.answered = self.slow = self.late = 0.0  # EWMA sums of work answered; of that slowly; too late
         self.doubted = False  # most servers look bad: the judgement is doubted, not the fleet
-        self.jobs: dict[int, Job] = {}
-        self.waiting: list[tuple[int, int, Job]] = []
+        self.jobs: dict[int, RequestState] = {}
+        self.waiting: list[tuple[int, int, RequestState]] = []
         self.seq, self.inflight, self.ticking = 0, 0, False
         self.retry_tokens, self.unconnected = RETRY_BANK / 2, 0.0  # and share of attempts without connection
         self.idle_trust = 1e6  # connections idle for longer may have been dropped unseen
         self.taken_at, self.extra_at = deque[float](), deque[float]()  # where an attempts budget is stated
         self.lines: dict[int, Line] = {}
-        proofs = api.NEVER_RAN - ({api.Status.REJECTED} if settings.full_may_have_run else set())
+        proofs = NEVER_RAN - ({AttemptStatus.REJECTED} if settings.rejected_may_have_run else set())
         self.ran_nothing = tuple(sorted(proofs))  # statuses which prove that an attempt never ran
-        self.telling = settings.peers
+        self.telling = settings.peer_messages_allowed
         self.peer_heard: dict[int, float] = {}
         self.tenant_rate = [0.0] * max(len(settings.tenants), 1)
 
-    def start(self, now: float) -> list[api.Action]:
+    def start(self, now: float) -> list[Action]:
         self.born, self.out = now, []
-        if self.cfg.watch_needed:
-            self.out.append(api.Watch())
-        if self.cfg.peers and self.cfg.siblings > 1:
-            self.out.append(api.SetTimer(T_PEERS, REFRESH * self.random.random()))
+        if self.cfg.list_on_request:
+            self.out.append(Watch())
+        if self.cfg.peer_messages_allowed and self.cfg.instance_count > 1:
+            self.out.append(SetTimer(T_PEERS, REFRESH * self.random.random()))
         return self.out
 
-    def handle(self, now: float, event: api.Event) -> list[api.Action]:
+    def handle(self, now: float, event: Event) -> list[Action]:
         self.now, self.out = now, []
         age = now - self.refreshed
         if age >= REFRESH and (self.arrived_now >= REFRESH_REQUESTS or age >= REFRESH_MAX):
@@ -218,18 +251,18 @@
         self._HANDLERS[type(event)](self, event)
         return self.out
 
-    def _on_list(self, event: api.ServerList) -> None:
-        if event.mode == api.ListMode.FAILED:
+    def _on_list(self, event: EndpointListUpdate) -> None:
+        if event.mode == UpdateMode.FAILED:
             # Discovery overloaded: ask again with jittered back-off, sooner than we are deemed informed.
             self.watch_failures += 1
-            wait = min(500.0 * 2**self.watch_failures, ASK_AGAIN_MAX, self.cfg.ask_within_ms)
-            self.out.append(api.SetTimer(T_WATCH, wait * (0.5 + 0.5 * self.random.random())))
+            wait = min(500.0 * 2**self.watch_failures, ASK_AGAIN_MAX, self.cfg.list_max_age_ms)
+            self.out.append(SetTimer(T_WATCH, wait * (0.5 + 0.5 * self.random.random())))
             return
         self.watch_failures = 0
         listed = {entry.id for entry in event.entries}
         for server in self.servers.values():
             server.seen = self.now if server.ready else server.seen
-            if event.mode != api.ListMode.DELTA and server.id not in listed:
+            if event.mode != UpdateMode.DELTA and server.id not in listed:
                 server.ready = False  # whoever is missing from a complete list has been removed
         for entry in event.entries:
             self._update(entry)
@@ -242,19 +275,19 @@
     def _subset(self) -> None:
         """A window of the list by id: where many meet many, each would know nothing of any, its connections
         would idle. Windows start evenly spread; failing servers do not fill them."""
-        zones: dict[int, list[Server]] = {}
+        zones: dict[int, list[EndpointState]] = {}
         for s in sorted(self.servers.values(), key=lambda s: s.id):
             zone = zones.setdefault(s.zone, [])
             s.turn = int(f"{len(zone):016b}"[::-1], 2)  # neighbours far apart: every window has its part
             zone.append(s)
         # Zones in proportion, and only what is ready: with half a window from each, or with gaps where some
         # have gone, the few of a small zone and those behind a gap would bear a multiple of the others' load.
-        places: list[tuple[float, int, Server]] = []
+        places: list[tuple[float, int, EndpointState]] = []
         for number, zone in zones.items():
             up = [s for s in zone if s.ready]
             places += [((rank + 0.5) / len(up), number, s) for rank, s in enumerate(up)]
         ring = [s for _, _, s in sorted(places)]  # no two share place and zone: servers are never compared
-        start = int(self.cfg.number * GOLDEN % 1.0 * len(ring))
+        start = int(self.cfg.instance_number * GOLDEN % 1.0 * len(ring))
         first, self.ready, self.listed = not self.listed, [], len(ring)
         room = self.width = self._wanted()
         for s in ring[start:] + ring[:start]:
@@ -262,13 +295,15 @@
                 self.ready.append(s)
                 room -= 1.0 if s.fails < BAD_AFTER else 0.0
         self.ready.sort(key=lambda s: (s.turn, s.id))
-        self.sharers = sharers = max(self.cfg.siblings * min(self._cover() / max(self.listed, 1), 1.0), 1.0)
-        self.telling = self.cfg.peers and sharers < PEER_SHARERS
+        self.sharers = sharers = max(
+            self.cfg.instance_count * min(self._cover() / max(self.listed, 1), 1.0), 1.0
+        )
+        self.telling = self.cfg.peer_messages_allowed and sharers < PEER_SHARERS
         if first and not self.telling:  # nothing learned: hundreds at once would start a jam
             self.knee = min(LIMIT_START, max(LIMIT_START_ALL / max(sharers, 1.0), 1.0))
 
     def _cover(self) -> float:
-        return max(SUBSET, SUBSET_COVER * self.listed / self.cfg.siblings)
+        return max(SUBSET, SUBSET_COVER * self.listed / self.cfg.instance_count)
 
     def _wanted(self) -> float:
         """How many servers to use: one with several times its part of the traffic needs as many times more,
@@ -279,13 +314,13 @@
         part = (self.arrived * known + MIX_PRIOR) / (self.planned * known + MIX_PRIOR)
         return self._cover() * max(part, 1.0)
 
-    def _update(self, entry: api.ServerEntry) -> None:
+    def _update(self, entry: EndpointEntry) -> None:
         server = self.servers.get(entry.id)
-        ready = entry.availability == api.Availability.READY
+        ready = entry.availability == Availability.READY
         if server is None:
             if not ready:
                 return
-            server = self.servers[entry.id] = Server(entry, self.groups)
+            server = self.servers[entry.id] = EndpointState(entry, self.groups)
             server.started, server.tokens = entry.started_at_ms, self.random.random()
         elif entry.started_at_ms > server.started + 1.0 or (ready and not server.ready):
             # A restarted process: its old figures and failures say nothing of the new one.
@@ -294,9 +329,9 @@
             server.blocked_until, server.tokens = 0.0, self.random.random()
             server.credit, server.fails, server.dead, server.flows = -inf, 0, False, {}
         server.ready = ready  # draining or gone: nothing new from this moment on
-        if self.cfg.sizes_listed and 0.0 < entry.size < inf:  # else as big as the others are on average
+        if self.cfg.weights_listed and 0.0 < entry.weight < inf:  # else as big as the others are on average
             # A live size sinks with the load, and a cold, empty server would look the biggest: the most seen.
-            server.size = max(entry.size, server.size if self.cfg.sizes_live else 0.0)
+            server.size = max(entry.weight, server.size if self.cfg.weights_live else 0.0)
         elif server.size <= 0.0:
             server.size = self.mean_size
         server.cell, server.zone = entry.cell, entry.zone
@@ -339,7 +374,9 @@
             if self._warmth(s) >= 1.0 and not s.fails:
                 warm_done, warm_size, warm_servers = warm_done + done, warm_size + s.size, warm_servers + 1
         if warm_size:
-            if self.cfg.sizes_live:  # seen under load only, empty cold servers list a multiple of the others
+            if (
+                self.cfg.weights_live
+            ):  # seen under load only, empty cold servers list a multiple of the others
                 top_size = warm_size / warm_servers
             per_ms = self.mean_usual * min(FIGURE_MEMORY, now - self.born + dt)
             self.carried += (warm_done / per_ms / warm_size - self.carried) * min(1.0, dt / max(warm_up, 1.0))
@@ -350,8 +387,8 @@
             scale = 100.0 * share[g] / sum(figures)  # normalized to 100, blended by the class mix
             weights = [weight + figure * scale for weight, figure in zip(weights, figures, strict=True)]
         floor, total = FLOOR * 100.0 / len(ready), 0.0
-        budget_share = min(BUDGET_SHARE, BUDGET_MULTIPLE * self.cfg.overload_factor)
-        remote = max(1.0 - ZONE_WEIGHT * self.cfg.price_cross_zone, FLOOR)
+        budget_share = min(BUDGET_SHARE, BUDGET_MULTIPLE * self.cfg.cold_overload_factor)
+        remote = max(1.0 - ZONE_WEIGHT * self.cfg.cross_zone_cost, FLOOR)
         for s, weight in zip(ready, weights, strict=True):
             weight = max(weight, floor)
             warm = self._warmth(s)
@@ -363,7 +400,7 @@
                 s.rate = budget_share * warm * min(s.size, top_size) * (self.carried or self.arrived / fleet)
                 # Levels start at random, unused tokens lapse: else hundreds spend a saved one at once.
                 s.tokens += s.rate * dt
-                s.tokens -= s.tokens > 1.0 + s.rate * 0.5 * self.cfg.tip_after_ms
+                s.tokens -= s.tokens > 1.0 + s.rate * 0.5 * self.cfg.cold_overload_window_ms
             s.limit = max(1, int(self.knee * s.size / mean_size * warm + 0.9))
             # Whoever has an answer first would refill every free place and starve its peers.
             s.own = s.limit // (len(s.peers) + 1)
@@ -375,18 +412,20 @@
         for s in ready:
             s.frac = TURN_SLACK * s.weight / total if total > 0.0 else 0.0
             if s.credit == -inf:  # new: any phase, else all siblings start at the same server
-                s.credit = s.weight - total * self.random.random() if self.cfg.siblings > 1 else 0.0
+                s.credit = s.weight - total * self.random.random() if self.cfg.instance_count > 1 else 0.0
         self._learn_limit(dt)
         self._affords()  # forgets what lies before its window
         if self.lines:  # nothing is kept of keys long idle
             self.lines = {k: line for k, line in self.lines.items() if line or line.rest_until > now}
-        if self.cfg.peers:
+        if self.cfg.peer_messages_allowed:
             self._forget_silent_peers()
 
     def _part(self, share: list[float]) -> None:
         """One long request in front makes a short one late. Where a class outlasts another's aim, it keeps to
         its part of the fleet: the first servers in an order on which all instances agree unheard."""
-        aims = [c.aim_ms for c, f in zip(self.cfg.classes, share, strict=False) if f > PART_SHARE]
+        aims = [
+            c.latency_objective_ms for c, f in zip(self.cfg.classes, share, strict=False) if f > PART_SHARE
+        ]
         self.long = [q > PART_FACTOR * min(aims, default=inf) for q in self.quick]
         part = 0.0
         if any(self.long) and not all(self.long):
@@ -398,11 +437,14 @@
             s.for_long = s.fails < BAD_AFTER and part >= 0.5 * size
             part -= size if s.for_long else 0.0
 
-    def _warmth(self, s: Server) -> float:  # the share of its capacity that it surely has by now
+    def _warmth(self, s: EndpointState) -> float:  # the share of its capacity that it surely has by now
         age = max(self.now - s.started, 0.0)
-        if s.started <= 0.0 or age >= self.cfg.cold_ms:
+        if s.started <= 0.0 or age >= self.cfg.slow_start_ms:
             return 1.0
-        return self.cfg.cold_from + (1.0 - self.cfg.cold_from) * age / self.cfg.cold_ms
+        return (
+            self.cfg.initial_capacity_share
+            + (1.0 - self.cfg.initial_capacity_share) * age / self.cfg.slow_start_ms
+        )
 
     def _learn_limit(self, dt: float) -> None:
         """The concurrency limit: as much as is answered well within its aim. More would wait at the servers,
@@ -434,7 +476,7 @@
         size, held = sum(s.size * self._warmth(s) for s in able), sum(s.inflight for s in able)
         self.room = max(self.knee * size / self.mean_size, 1.0) + self.inflight - held
 
-    def _rest(self, healthy: list[Server], able: list[Server]) -> None:
+    def _rest(self, healthy: list[EndpointState], able: list[EndpointState]) -> None:
         """All but one rest, then that one: the way back of servers that stay slow until nearly idle."""
         s = self.awake
         if self.relief < LIMIT_RELIEF and self.now < self.rest_until:  # without rest: the trouble is over
@@ -447,7 +489,7 @@
         elif s is not None and self.now < self.rest_until + LIMIT_REST:
             s.limit = s.own = 0
 
-    def _pick(self, job: Job) -> Server | None:
+    def _pick(self, job: RequestState) -> EndpointState | None:
         """The next server of the rotation for this request; None: hold it."""
         if job.tries and not self._affords() or self.inflight >= self.room and not self.telling:
             return None
@@ -491,57 +533,65 @@
             return best
         return spare
 
-    def _in_group(self, job: Job, s: Server) -> bool:
+    def _in_group(self, job: RequestState, s: EndpointState) -> bool:
         c = self.cfg.classes[job.cls]
-        if c.effect != api.Effect.GUARDED or self.now > self._memory_end(job):
-            return c.effect == api.Effect.FREE
+        if c.idempotency != Idempotency.KEYED or self.now > self._memory_end(job):
+            return c.idempotency == Idempotency.IDEMPOTENT
         by_zone, by_cell = s.zone == job.ran_zone, s.cell == job.ran_cell
-        return c.scope == api.Scope.ALL or (by_zone if c.scope == api.Scope.ZONE else by_cell)
+        return c.deduplication_scope == DeduplicationScope.ALL or (
+            by_zone if c.deduplication_scope == DeduplicationScope.ZONE else by_cell
+        )
 
-    def _may_send(self, job: Job) -> bool:
+    def _may_send(self, job: RequestState) -> bool:
         if job.finished or len(job.tries) >= self.cfg.max_attempts or self.now >= job.deadline:
             return False
-        if job.open and not self.cfg.may_duplicate:
+        if job.open and not self.cfg.hedging_allowed:
             return False
-        effect = self.cfg.classes[job.cls].effect
-        if effect == api.Effect.FREE or not (job.ran or job.open):
+        idempotency = self.cfg.classes[job.cls].idempotency
+        if idempotency == Idempotency.IDEMPOTENT or not (job.ran or job.open):
             return True
-        return effect == api.Effect.GUARDED and self.now <= self._memory_end(job)
+        return idempotency == Idempotency.KEYED and self.now <= self._memory_end(job)
 
     def _affords(self) -> bool:
         """The retry budget: attempts beyond the first for a share of the requests only, else they multiply an
         overload; what never ran cost a server a connection or its 'full'. A stated budget comes on top."""
         taken, extra, cfg = self.taken_at, self.extra_at, self.cfg
-        since = self.now - cfg.retry_window_ms  # a sliding window, with a step of the clock as margin
-        while extra and extra[0] < since - cfg.quantum_ms:
+        since = self.now - cfg.retry_budget_window_ms  # a sliding window, with a step of the clock as margin
+        while extra and extra[0] < since - cfg.clock_step_ms:
             extra.popleft()
-        while taken and taken[0] < since + cfg.quantum_ms:
+        while taken and taken[0] < since + cfg.clock_step_ms:
             taken.popleft()
-        stated = cfg.retry_free + cfg.retry_ratio * len(taken) if cfg.retry_window_ms > 0.0 else inf
+        stated = (
+            cfg.retry_budget_floor + cfg.retry_budget_ratio * len(taken)
+            if cfg.retry_budget_window_ms > 0.0
+            else inf
+        )
         return self.retry_tokens >= 1.0 and len(extra) + 1 <= stated
 
     def may_begin(self, now: float, request_id: int) -> bool:
         """Asked as an attempt goes out, perhaps long after it was decided: it waited for its connection. A
         repeat that comes when its key is no longer remembered would run a second time."""
         job = self.jobs.get(request_id)
-        if job is None or len(job.tries) < 2 or self.cfg.classes[job.cls].effect != api.Effect.GUARDED:
+        if job is None or len(job.tries) < 2 or self.cfg.classes[job.cls].idempotency != Idempotency.KEYED:
             return job is not None
         return now <= self._memory_end(job)
 
-    def _memory_end(self, job: Job) -> float:  # until then repeats are surely dropped, transit included
-        return job.ran_at + self.cfg.classes[job.cls].memory_ms - 4 * self.cfg.quantum_ms
+    def _memory_end(
+        self, job: RequestState
+    ) -> float:  # until then repeats are surely dropped, transit included
+        return job.ran_at + self.cfg.classes[job.cls].deduplication_window_ms - 4 * self.cfg.clock_step_ms
 
-    def _send(self, job: Job, s: Server) -> None:
+    def _send(self, job: RequestState, s: EndpointState) -> None:
         now, group = self.now, job.group
         if not (job.ran or job.open):  # from now on it may be running here
             job.ran_at, job.ran_zone, job.ran_cell = now, s.zone, s.cell
         if job.tries:
             self.retry_tokens -= 1.0
-            if self.cfg.retry_window_ms > 0.0:
+            if self.cfg.retry_budget_window_ms > 0.0:
                 self.extra_at.append(now)
         idle = now - s.quiet_since if s.conns > s.inflight else 0.0  # of the connection that would be used
         if idle > self.idle_trust and self.unconnected < CONNECTS_FINE:
-            self.out.append(api.CloseIdle(s.id))  # may have been dropped unseen: a new one
+            self.out.append(CloseIdle(s.id))  # may have been dropped unseen: a new one
             idle = 0.0
         s.sent += 1
         s.out[s.sent] = 0
@@ -550,7 +600,9 @@
         job.used.append(s.id)
         if not s.inflight:
             s.quiet_since, s.patience = now, 0.0
-        s.patience = max(s.patience, min(STALL_FACTOR * self.usual[group], self.cfg.classes[job.cls].aim_ms))
+        s.patience = max(
+            s.patience, min(STALL_FACTOR * self.usual[group], self.cfg.classes[job.cls].latency_objective_ms)
+        )
         s.inflight += 1
         s.conns = max(s.conns, s.inflight)
         s.open[group] += 1
@@ -558,13 +610,13 @@
         self.inflight += 1
         if s.rate < inf:
             s.tokens -= self.usual[group] / self.mean_usual
-        self.out.append(api.Send(job.id, s.id, 0.0))
+        self.out.append(Send(job.id, s.id, 0.0))
         if self.telling:
             self._tell(s)
-        if self.cfg.may_duplicate and self._may_send(job):
-            self.out.append(api.SetTimer(job.id << 3 | T_HEDGE, HEDGE_FACTOR * self.usual[group]))
+        if self.cfg.hedging_allowed and self._may_send(job):
+            self.out.append(SetTimer(job.id << 3 | T_HEDGE, HEDGE_FACTOR * self.usual[group]))
 
-    def _end_attempt(self, event: api.Outcome) -> Job | None:
+    def _end_attempt(self, event: Outcome) -> RequestState | None:
         job = self.jobs.get(event.id)
         if job is None or event.attempt >= len(job.tries) or job.tries[event.attempt] is None:
             return None  # not held, or told twice
@@ -580,7 +632,7 @@
         group, now, status = job.group, self.now, event.status
         took = now - sent
         if job.line is not None and status in (TIMEOUT, RESET, CANCELLED):
-            job.line.rest_until = now + self.cfg.key_rest_ms  # it may be running on
+            job.line.rest_until = now + self.cfg.key_quiesce_ms  # it may be running on
         job.open -= 1
         self.inflight -= 1
         s.inflight -= 1
@@ -592,7 +644,7 @@
         s.conns = s.inflight if status in (CONNECT_FAILED, RESET) else s.conns
         self.unconnected += ((status == CONNECT_FAILED) - self.unconnected) * 0.05
         if status in (OK, TIMEOUT) and s.rate == inf:  # a cold server is slow at any load
-            work, aim = self.usual[group] / self.mean_usual, self.cfg.classes[job.cls].aim_ms
+            work, aim = self.usual[group] / self.mean_usual, self.cfg.classes[job.cls].latency_objective_ms
             self.answered += work
             self.slow += work if took > LIMIT_PART * aim else 0.0
             self.late += work if took > aim else 0.0
@@ -618,7 +670,9 @@
             self._tell(s)
         return job
 
-    def _judge(self, s: Server, job: Job, status: int, sent: float, took: float, passed: int) -> None:
+    def _judge(
+        self, s: EndpointState, job: RequestState, status: int, sent: float, took: float, passed: int
+    ) -> None:
         now, group, usual = self.now, job.group, self.usual[job.group]
         if status in (CANCELLED, NEVER_SENT) or status == TIMEOUT and took < FAIR_TIME * usual:
             s.busy[group] += took  # sent too late to be served: that speaks of us, not of the server
@@ -647,9 +701,9 @@
     def _log(self, text: str) -> None:
         if self.log_left > 0:
             self.log_left -= 1
-            self.out.append(api.Log(text))
+            self.out.append(Log(text))
 
-    def _shut(self, s: Server, job: Job) -> None:
+    def _shut(self, s: EndpointState, job: RequestState) -> None:
         """A server may fail or turn away one kind and serve the others. The judgement is as narrow as the
         evidence: this class of this tenant; all of either once a second kind failed with none served."""
         for flow, other in zip(job.flows, (-1, job.flows[2][1], job.group), strict=True):
@@ -658,13 +712,13 @@
                 fails, until = fails + 1, self.now + min(FLOW_WAIT * 2**fails, FLOW_MAX)
             s.flows[flow] = (fails, until, last)
 
-    def _on_outcome(self, event: api.Outcome) -> None:
+    def _on_outcome(self, event: Outcome) -> None:
         job = self._end_attempt(event)
         if job is not None:
             self._settle(job, event)
         self._pump()
 
-    def _settle(self, job: Job, event: api.Outcome) -> None:
+    def _settle(self, job: RequestState, event: Outcome) -> None:
         status = event.status
         job.ran = job.ran or status not in self.ran_nothing
         if event.finished and not job.finished:
@@ -678,31 +732,33 @@
         else:
             self._give_up(job)
 
-    def _too_late(self, job: Job) -> bool:
+    def _too_late(self, job: RequestState) -> bool:
         """A further attempt would not be in time even if it were quick."""
-        worthless = self.cfg.classes[job.cls].late_worth <= 0.0
+        worthless = self.cfg.classes[job.cls].late_priority_weight <= 0.0
         return self.now >= job.end or worthless and self.now + self.quick[job.group] > job.aim
 
-    def _finish(self, job: Job) -> None:
+    def _finish(self, job: RequestState) -> None:
         """The request is over. Copies still out are called off where copies are made at all."""
         job.finished = True
-        if self.cfg.can_cancel and self.cfg.may_duplicate:
+        if self.cfg.cancel_allowed and self.cfg.hedging_allowed:
             for number, attempt in enumerate(job.tries):
                 if attempt is not None:
-                    self.out.append(api.Cancel(job.id, number))
+                    self.out.append(Cancel(job.id, number))
         if not job.open:
             self._forget(job)
 
-    def _give_up(self, job: Job) -> None:
+    def _give_up(self, job: RequestState) -> None:
         """The final answer, a refusal where that is true: trying again must be harmless."""
         self.given_up_at = self.now
         c = self.cfg.classes[job.cls]
-        guarded_by_all = c.effect == api.Effect.GUARDED and c.scope == api.Scope.ALL
-        if not (job.ran or job.open) or c.effect == api.Effect.FREE or guarded_by_all:
-            advice = min(c.aim_ms, self.cfg.max_retry_after_ms) if self.cfg.retry_after else 0.0
-            self.out.append(api.Refuse(job.id, advice))
+        guarded_by_all = (
+            c.idempotency == Idempotency.KEYED and c.deduplication_scope == DeduplicationScope.ALL
+        )
+        if not (job.ran or job.open) or c.idempotency == Idempotency.IDEMPOTENT or guarded_by_all:
+            advice = min(c.latency_objective_ms, self.cfg.max_retry_after_ms) if self.cfg.retry_after else 0.0
+            self.out.append(Reject(job.id, advice))
         else:
-            self.out.append(api.Fail(job.id))
+            self.out.append(Fail(job.id))
         self._finish(job)
 
     def _hedge(self, request_id: int) -> None:
@@ -713,7 +769,7 @@
         if self.now + 0.3 * self.usual[job.group] <= job.aim and (s := self._pick(job)) is not None:
             self._send(job, s)
 
-    def _on_request(self, event: api.Request) -> None:
+    def _on_request(self, event: Request) -> None:
         cls = event.cls = event.cls if event.cls < len(self.cfg.classes) else 0
         group = cls
         if self.hinted:
@@ -724,17 +780,17 @@
         self.mix[group] += 1.0
         self.arrived_now += self.usual[group] / self.mean_usual
         self.retry_tokens = min(self.retry_tokens + RETRY_EARN, RETRY_BANK)
-        if self.cfg.retry_window_ms > 0.0:
+        if self.cfg.retry_budget_window_ms > 0.0:
             self.taken_at.append(self.now)
         aim = self._aim_left(cls, event.time_left_ms)
         hold = min(max(aim - HOLD_MARGIN * self.usual[group], HOLD_LEAST * aim), HOLD_MOST * aim)
-        job = Job(event, group, self.now, aim, hold, self.cfg.quantum_ms)
+        job = RequestState(event, group, self.now, aim, hold, self.cfg.clock_step_ms)
         self.jobs[event.id] = job
         if self.cfg.tenants:
             job.rank = int(self._over_share(event.tenant))
         if self._overdue(job):
             return
-        if self.cfg.classes[cls].keep_order and event.key:
+        if self.cfg.classes[cls].ordered_by_key and event.key:
             self._queue_by_key(job, event.key)
         else:
             self._place(job)
@@ -745,11 +801,15 @@
         """A client's later try has less time left: a retry storm must not be served too late."""
         c = self.cfg.classes[cls]
         self.first_try[cls] = longest = max(self.first_try[cls], min(time_left, c.deadline_ms))
-        first = time_left > 0.95 * longest - 3 * self.cfg.quantum_ms
+        first = time_left > 0.95 * longest - 3 * self.cfg.clock_step_ms
         # Calm traffic, no later tries in it, shows whether clients differ: then short times tell nothing.
         if self.now - self.given_up_at > c.deadline_ms:
             self.alike[cls] += (first - self.alike[cls]) * 0.01
-        return c.aim_ms if first or self.alike[cls] < 0.8 else c.aim_ms + time_left - c.deadline_ms
+        return (
+            c.latency_objective_ms
+            if first or self.alike[cls] < 0.8
+            else c.latency_objective_ms + time_left - c.deadline_ms
+        )
 
     def _over_share(self, tenant: int) -> bool:
         """Whether a tenant asks for more than its share: waits behind all others, is throttled first."""
@@ -757,22 +817,22 @@
         if tenant >= len(tenants):
             return False
         self.tenant_rate[tenant] += 1000.0 / MIX_MEMORY
-        quota = tenants[tenant].quota_rps / self.cfg.siblings
+        quota = tenants[tenant].quota_rps / self.cfg.instance_count
         return 0.0 < quota < self.tenant_rate[tenant]
 
-    def _place(self, job: Job) -> None:
+    def _place(self, job: RequestState) -> None:
         s = None if self.waiting else self._pick(job)  # those held before come first
         if s is not None:
             self._send(job, s)
         else:
             self._hold(job)
 
-    def _hold(self, job: Job) -> None:
+    def _hold(self, job: RequestState) -> None:
         self.seq += 1
-        heappush(self.waiting, (job.rank, -self.cfg.classes[job.cls].worth, -self.seq, job))
+        heappush(self.waiting, (job.rank, -self.cfg.classes[job.cls].priority_weight, -self.seq, job))
         self._tick()
 
-    def _queue_by_key(self, job: Job, key: int) -> None:
+    def _queue_by_key(self, job: RequestState, key: int) -> None:
         """One that its key cannot serve in time is refused at once: else all of a popular key is late."""
         line = self.lines.setdefault(key, Line())
         ahead = len(line)
@@ -782,7 +842,7 @@
         job.line, job.in_line = line, True
         self._turn(job)
 
-    def _turn(self, job: Job) -> None:
+    def _turn(self, job: RequestState) -> None:
         """Places the first of its key's line once the key has rested; else looks again in time."""
         if job.finished or not job.in_line or self._overdue(job):
             return
@@ -792,9 +852,9 @@
             return self._place(job)
         again = min(job.end, job.line.rest_until if first else inf)
         again = min(again, job.hold_until if self.now <= job.hold_until else inf)
-        self.out.append(api.SetTimer(job.id << 3 | T_TURN, max(again - self.now, 0.0) + 0.01))
+        self.out.append(SetTimer(job.id << 3 | T_TURN, max(again - self.now, 0.0) + 0.01))
 
-    def _forget(self, job: Job) -> None:
+    def _forget(self, job: RequestState) -> None:
         """Over, and no attempt is without its outcome: only now may the next of its key go."""
         if self.jobs.pop(job.id, None) is not None and job.line is not None:
             job.line.remove(job)
@@ -804,7 +864,7 @@
     def _tick(self) -> None:
         if self.waiting and not self.ticking:
             self.ticking = True
-            self.out.append(api.SetTimer(T_TICK, TICK))
+            self.out.append(SetTimer(T_TICK, TICK))
 
     def _pump(self, sweep: bool = False) -> None:
         """Places held requests by share, then worth, then the youngest: in an overload the oldest first would
@@ -826,16 +886,16 @@
         for entry in kept:
             heappush(self.waiting, entry)
 
-    def _overdue(self, job: Job) -> bool:
+    def _overdue(self, job: RequestState) -> bool:
         """Gives up, or sets back, what was held too long to be in time."""
         late = self.now > job.hold_until
-        if self.now >= job.end or late and self.cfg.classes[job.cls].late_worth <= 0.0:
+        if self.now >= job.end or late and self.cfg.classes[job.cls].late_priority_weight <= 0.0:
             self._give_up(job)
         elif late:
             job.rank = 2
         return job.finished
 
-    def _on_timer(self, event: api.TimerDue) -> None:
+    def _on_timer(self, event: TimerFired) -> None:
         kind = event.token & 7
         if kind == T_HEDGE:
             self._hedge(event.token >> 3)
@@ -847,23 +907,25 @@
             self._pump(sweep=True)
             self._tick()
         elif kind == T_WATCH:
-            self.out.append(api.Watch())
+            self.out.append(Watch())
         elif kind == T_PEERS:
             told = self.ready if self.telling else []  # also what was lost, and who uses what
             for i in range(0, len(told), PEER_ENTRIES):
-                self.out.append(api.TellPeer(b"".join(map(_told, told[i : i + PEER_ENTRIES]))))
-            self.out.append(api.SetTimer(T_PEERS, PEER_SILENCE / 3))
+                self.out.append(SendToPeer(b"".join(map(_told, told[i : i + PEER_ENTRIES]))))
+            self.out.append(SetTimer(T_PEERS, PEER_SILENCE / 3))
 
-    def _on_gone(self, event: api.ClientGone) -> None:
+    def _on_gone(self, event: ClientDisconnected) -> None:
         if event.id in self.jobs:
             self._finish(self.jobs[event.id])
 
-    def _tell(self, s: Server) -> None:  # to those known to use it; all would be a storm in a large fleet
-        self.out.extend([api.TellPeer(_told(s), peer) for peer in s.peers])
+    def _tell(
+        self, s: EndpointState
+    ) -> None:  # to those known to use it; all would be a storm in a large fleet
+        self.out.extend([SendToPeer(_told(s), peer) for peer in s.peers])
 
-    def _on_peer(self, event: api.PeerMessage) -> None:
+    def _on_peer(self, event: PeerMessage) -> None:
         data, sender = event.data, event.sender
-        if not data or len(data) % 7 or sender >= self.cfg.siblings:
+        if not data or len(data) % 7 or sender >= self.cfg.instance_count:
             return
         self.peer_heard[sender] = self.now
         for i in range(0, len(data), 7):
@@ -880,17 +942,19 @@
             for s in self.servers.values():
                 s.peer_sum -= s.peers.pop(peer, 0)
 
-    def _on_stream(self, event: api.StreamStarted) -> None:
+    def _on_stream(self, event: ResponseStarted) -> None:
         if event.id in self.jobs:
             self.jobs[event.id].deadline = inf
 
     _HANDLERS = {
-        api.Request: _on_request,
-        api.Outcome: _on_outcome,
-        api.TimerDue: _on_timer,
-        api.PeerMessage: _on_peer,
-        api.ServerList: _on_list,
-        api.ClientGone: _on_gone,
-        api.Probed: lambda self, event: None,  # no probes are sent: in-flight time tells as much, for nothing
-        api.StreamStarted: _on_stream,
+        Request: _on_request,
+        Outcome: _on_outcome,
+        TimerFired: _on_timer,
+        PeerMessage: _on_peer,
+        EndpointListUpdate: _on_list,
+        ClientDisconnected: _on_gone,
+        HealthChecked: lambda self, event: (
+            None
+        ),  # no probes are sent: in-flight time tells as much, for nothing
+        ResponseStarted: _on_stream,
     }
--- a/alderspool/lab/emulator/discovery.py
+++ b/alderspool/lab/emulator/discovery.py
@@ -6,7 +6,7 @@
 import json
 from urllib.parse import parse_qs, urlsplit
 
-from alderspool.lab.emulator.node import clock_ms
+from alderspool.lab.emulator.endpoint import clock_ms
 from alderspool.lab.emulator.wire import Listener, ServerWire, answer
 from alderspool.lab.models.discovery import Discovery, Entry
 
--- a/alderspool/lab/emulator/node.py
+++ b/alderspool/lab/emulator/endpoint.py
@@ -1,4 +1,4 @@
-"""An execute node on a socket: the model decides when and whether an answer comes, this carries it."""
+"""An endpoint on a socket: the model decides when and whether an answer comes, this carries it."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 import numpy as np
 
 from alderspool.lab.emulator.wire import Listener, Request, ServerWire, answer
-from alderspool.lab.models.node import ExecuteNode, NodeProfile, Rack, Verdict, Work
+from alderspool.lab.models.endpoint import EndpointModel, EndpointProfile, Rack, Verdict, Work
 
 NOT_RUN = b"X-Not-Run: 1"
 
@@ -43,13 +43,13 @@
     return time.monotonic() * 1000.0
 
 
-class NodeServer(Listener):
+class EndpointServer(Listener):
     """`records`: every attempt that came, for whoever judges the run."""
 
     def __init__(
         self,
         name: str,
-        profile: NodeProfile,
+        profile: EndpointProfile,
         loads: dict[str, Load],
         stream: np.random.Generator,
         rack: Rack | None = None,
@@ -58,7 +58,7 @@
     ) -> None:
         super().__init__()
         self.name, self.zone, self.group = name, zone, group
-        self.model = ExecuteNode(profile, stream, rack, clock_ms())
+        self.model = EndpointModel(profile, stream, rack, clock_ms())
         self.records: list[Seen] = []
         self.since_ms = 0.0  # the last start, Unix time; 0: long ago
         self._loads, self._stream = loads, stream
--- a/alderspool/lab/emulator/fleet.py
+++ b/alderspool/lab/emulator/fleet.py
@@ -18,10 +18,10 @@
 import numpy as np
 
 from alderspool.lab.emulator.discovery import DiscoveryServer, document
-from alderspool.lab.emulator.node import Load, NodeServer
+from alderspool.lab.emulator.endpoint import EndpointServer, Load
 from alderspool.lab.errors import LabError, RunError
 from alderspool.lab.models.discovery import Discovery, Entry
-from alderspool.lab.models.node import NodeProfile, Rack
+from alderspool.lab.models.endpoint import EndpointProfile, Rack
 
 LOADS = {"status-check": Load(30.0), "otp-send": Load(18.0), "batch-submit": Load(36.0)}
 SETTINGS = {
@@ -68,7 +68,9 @@
     proxies: int = 1
     seed: int = 1
     racks: int = 2
-    profile: NodeProfile = field(default_factory=lambda: NodeProfile(cold_ms=4000.0, key_gain=0.4))
+    profile: EndpointProfile = field(
+        default_factory=lambda: EndpointProfile(slow_start_ms=4000.0, key_gain=0.4)
+    )
     speeds: tuple[float, float] = (0.7, 2.0)
     faults: tuple[Fault, ...] = ()
 
@@ -82,9 +84,9 @@
         speeds = np.random.default_rng(next(seeds)).uniform(*plan.speeds, plan.nodes)
         racks = [Rack() for _ in range(plan.racks)]
         self.nodes = [
-            NodeServer(
+            EndpointServer(
                 f"s-{i:02d}",
-                NodeProfile(**{**vars(plan.profile), "speed": float(speed)}),
+                EndpointProfile(**{**vars(plan.profile), "speed": float(speed)}),
                 LOADS,
                 np.random.default_rng(next(seeds)),
                 racks[i % plan.racks],
@@ -103,7 +105,7 @@
         """Core-ms of work that all nodes do a ms, warm and healthy."""
         return sum(n.model.profile.cores * n.model.profile.speed for n in self.nodes)
 
-    def entry(self, node: NodeServer, status: str = "ready") -> Entry:
+    def entry(self, node: EndpointServer, status: str = "ready") -> Entry:
         return Entry(node.name, node.address, node.zone, "m2", node.group, status, 1.0, node.since_ms)
 
     async def __aenter__(self) -> Fleet:
@@ -185,38 +187,38 @@
 # ---- kinds of fault: how each begins and ends ------------------------------------------------------
 
 
-async def _crash(fleet: Fleet, node: NodeServer) -> None:
+async def _crash(fleet: Fleet, node: EndpointServer) -> None:
     node.crash()
     fleet.discovery.report(fleet.entry(node, "gone"))
 
 
-async def _restart(fleet: Fleet, node: NodeServer) -> None:
+async def _restart(fleet: Fleet, node: EndpointServer) -> None:
     await node.restart()
     fleet.discovery.report(fleet.entry(node))
 
 
-async def _silence(fleet: Fleet, node: NodeServer) -> None:
+async def _silence(fleet: Fleet, node: EndpointServer) -> None:
     node.model.silent = True
 
 
-async def _speak(fleet: Fleet, node: NodeServer) -> None:
+async def _speak(fleet: Fleet, node: EndpointServer) -> None:
     node.model.silent = False
 
 
-async def _slow(fleet: Fleet, node: NodeServer) -> None:
+async def _slow(fleet: Fleet, node: EndpointServer) -> None:
     node.model.slower = 3.0
 
 
-async def _quick(fleet: Fleet, node: NodeServer) -> None:
+async def _quick(fleet: Fleet, node: EndpointServer) -> None:
     node.model.slower = 1.0
 
 
-async def _drain(fleet: Fleet, node: NodeServer) -> None:
+async def _drain(fleet: Fleet, node: EndpointServer) -> None:
     node.model.draining = True
     fleet.discovery.report(fleet.entry(node, "draining"))
 
 
-Act = Callable[[Fleet, NodeServer], Awaitable[None]]
+Act = Callable[[Fleet, EndpointServer], Awaitable[None]]
 _FAULTS: dict[str, tuple[Act, Act]] = {
     "crash": (_crash, _restart),
     "silence": (_silence, _speak),
--- a/alderspool/lab/emulator/wire.py
+++ b/alderspool/lab/emulator/wire.py
@@ -9,7 +9,7 @@
 
 import httptools
 
-from alderspool.protocol.http_parts import HttpParts
+from alderspool.protocol.http_parts import HttpMessageCollector
 
 BODY_LIMIT = 64 * 1024
 
@@ -22,7 +22,7 @@
     body: bytes
 
 
-class ServerWire(HttpParts):
+class ServerWire(HttpMessageCollector):
     """Bytes in, whole requests out; `fault` once what came is no HTTP."""
 
     def __init__(self) -> None:
@@ -54,7 +54,7 @@
 
     def __init__(self) -> None:
         self.port = 0
-        self._server: asyncio.Server | None = None
+        self._server: asyncio.EndpointState | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
     @property
--- a/alderspool/lab/load/sender.py
+++ b/alderspool/lab/load/sender.py
@@ -11,7 +11,7 @@
 
 from alderspool.lab.load.plan import Plan
 from alderspool.lab.load.results import Result
-from alderspool.protocol.http_client import BrokenReplyError, ClientWire
+from alderspool.protocol.http_client import BrokenResponseError, HttpClientCodec
 
 BODY_LIMIT = 64 * 1024
 BODY = b"{}"
@@ -25,7 +25,7 @@
 
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
-    wire: ClientWire
+    wire: HttpClientCodec
 
 
 class Sender:
@@ -79,7 +79,7 @@
                 outcome = "served" if status == 200 else "refused" if status in (429, 503) else "failed"
         except TimeoutError:
             outcome = "timeout" if link is not None else "unconnected"
-        except (OSError, BrokenReplyError):
+        except (OSError, BrokenResponseError):
             pass  # the outcome says how far it came
         self._result.count(
             (cls.name, plan.tenants[plan.tenant[number]], outcome), planned, sent, self._now(), status
@@ -99,7 +99,7 @@
             link.writer.close()
         async with asyncio.timeout(_CONNECT_S):
             reader, writer = await asyncio.open_connection(self._host, self._port)
-        return Link(reader, writer, ClientWire(BODY_LIMIT))
+        return Link(reader, writer, HttpClientCodec(BODY_LIMIT))
 
     def _compose(self, link: Link, number: int, planned: float) -> bytes:
         plan = self._plan
@@ -112,10 +112,10 @@
             (b"X-Tenant", plan.tenants[plan.tenant[number]].encode()),
             (b"X-Deadline-Ms", b"%d" % max(left, 1.0)),
         ]
-        if cls.effect == "keyed":
+        if cls.idempotency == "keyed":
             headers.append((b"Idempotency-Key", uuid4().hex.encode()))
         target = f"/{cls.name}/{plan.key[number]:x}".encode()
-        if cls.effect == "free":
+        if cls.idempotency == "free":
             return link.wire.compose(b"GET", target, headers)
         return link.wire.compose(b"POST", target, headers, BODY)
 
--- a/alderspool/lab/load/traffic.py
+++ b/alderspool/lab/load/traffic.py
@@ -19,7 +19,7 @@
     name: str
     share: Positive
     deadline_ms: Positive
-    effect: Literal["free", "once", "keyed"] = "free"
+    idempotency: Literal["free", "once", "keyed"] = "free"
 
 
 class Tenant(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
--- a/alderspool/lab/models/submitter.py
+++ b/alderspool/lab/models/client.py
@@ -1,4 +1,4 @@
-"""A submitter's habits: how long it waits, whether and when it asks again."""
+"""A client's habits: how long it waits, whether and when it asks again."""
 
 from __future__ import annotations
 
@@ -18,11 +18,11 @@
     impatient: float = 0.0
     backoff_ms: float = 50.0
     doubling: bool = False
-    honours_retry_after: float = 0.0  # part of the submitters
+    honours_retry_after: float = 0.0  # part of the clients
 
 
-class Submitter:
-    """One request of a submitter over all its tries. Times in ms."""
+class ClientModel:
+    """One request of a client over all its tries. Times in ms."""
 
     def __init__(self, habits: Habits, deadline_ms: float, now: float, stream: np.random.Generator) -> None:
         self._habits, self._until, self._tries = habits, now + deadline_ms, 0
--- a/alderspool/lab/models/node.py
+++ b/alderspool/lab/models/endpoint.py
@@ -1,4 +1,4 @@
-"""An execute node: cores, queue, slots, cold start, key memory, crowding, choke, tip-over. Work in core-ms.
+"""An endpoint: cores, queue, slots, cold start, key memory, crowding, choke, tip-over. Work in core-ms.
 
 A node of speed 1 does one core-ms of work a ms on each core. All rates are constant within a step of `STEP`
 ms, so a finish is exact but for what changes within one step.
@@ -18,17 +18,17 @@
 
 
 @dataclass(frozen=True)
-class NodeProfile:
+class EndpointProfile:
     """What a node is like. Times in ms, work in core-ms; `queue` counts what waits beyond the slots."""
 
     cores: int = 2
     speed: float = 1.0
     slots: int = 2  # requests in work at once
     queue: int = 50
-    cold_from: float = 0.4  # share of the capacity at the start
-    cold_ms: float = 0.0  # 0: never cold
-    tip_factor: float = math.inf  # a cold node sent over this multiple of what it can do falls over
-    tip_after_ms: float = 1000.0
+    initial_capacity_share: float = 0.4  # share of the capacity at the start
+    slow_start_ms: float = 0.0  # 0: never cold
+    cold_overload_factor: float = math.inf  # a cold node sent over this multiple of what it can do falls over
+    cold_overload_window_ms: float = 1000.0
     key_gain: float = 0.0  # share of the work that a known key saves
     key_ms: float = 5000.0
     keys: int = 100
@@ -96,11 +96,15 @@
         return False
 
 
-class ExecuteNode:
+class EndpointModel:
     """One process. `now` never goes back; call `advance` before anything else at a moment."""
 
     def __init__(
-        self, profile: NodeProfile, stream: np.random.Generator, rack: Rack | None = None, now: float = 0.0
+        self,
+        profile: EndpointProfile,
+        stream: np.random.Generator,
+        rack: Rack | None = None,
+        now: float = 0.0,
     ) -> None:
         self.profile, self._stream, self._rack = profile, stream, rack
         self.slower = 1.0  # a fault: this many times slower
@@ -196,7 +200,11 @@
     def warmth(self, now: float) -> float:
         """Share of its capacity that it has by now: rises evenly from `cold_from`."""
         p, age = self.profile, now - self.started
-        return 1.0 if age >= p.cold_ms else p.cold_from + (1.0 - p.cold_from) * age / p.cold_ms
+        return (
+            1.0
+            if age >= p.slow_start_ms
+            else p.initial_capacity_share + (1.0 - p.initial_capacity_share) * age / p.slow_start_ms
+        )
 
     def rate(self, now: float) -> float:
         """Core-ms of work that one core does a ms, at this moment."""
@@ -270,11 +278,11 @@
     def _tip(self, now: float, work: float) -> None:
         """A cold node that was sent too much within the window falls over, and stays down."""
         p = self.profile
-        if p.tip_factor == math.inf or self.warmth(now) >= 1.0:
+        if p.cold_overload_factor == math.inf or self.warmth(now) >= 1.0:
             return
         self._sent.append((now, work))
-        while self._sent[0][0] < now - p.tip_after_ms:
+        while self._sent[0][0] < now - p.cold_overload_window_ms:
             self._sent.popleft()
-        can = p.cores * p.speed * self.warmth(now) * p.tip_after_ms
-        if sum(sent for _, sent in self._sent) > p.tip_factor * can:
+        can = p.cores * p.speed * self.warmth(now) * p.cold_overload_window_ms
+        if sum(sent for _, sent in self._sent) > p.cold_overload_factor * can:
             self.crash()
--- a/alderspool/program/app.py
+++ b/alderspool/program/app.py
@@ -12,13 +12,13 @@
 
 from alderspool.program.config import Config, ConfigError, load
 from alderspool.program.signals import EarlySignals
-from alderspool.protocol.submitters import Reader
+from alderspool.protocol.downstream import RequestReader
 from alderspool.routing.clock import Clock
 from alderspool.routing.exchange import Exchange
-from alderspool.transport.budget import SUBMITTERS_SHARE, DescriptorBudget
+from alderspool.transport.descriptor_budget import SUBMITTERS_SHARE, DescriptorBudget
 from alderspool.transport.discovery import DiscoveryClient
-from alderspool.transport.execute_nodes import ExecuteNodePool
 from alderspool.transport.listener import Listener
+from alderspool.transport.upstream_pool import UpstreamPool
 
 # Where lists are pushed, what the agent beside us has counts as told from our first moment: nobody is let in
 # before it has answered, unless it is silent for so long.
@@ -45,7 +45,7 @@
     stop = asyncio.Event()
     exchange = Exchange(config.settings, config.seed, Clock())
     budget = DescriptorBudget.of(config.limits.sockets)
-    pool = ExecuteNodePool(exchange, config.settings, budget.part(1.0))
+    pool = UpstreamPool(exchange, config.settings, budget.part(1.0))
     discovery = DiscoveryClient(
         config.discovery, exchange, config.settings, config.known.revision, config.seed
     )
@@ -58,24 +58,24 @@
         loop.add_signal_handler(number, act)
     if early is not None:
         early.hand_over(obey)
-    listener = Listener(exchange, Reader(config.settings), budget.part(SUBMITTERS_SHARE))
+    listener = Listener(exchange, RequestReader(config.settings), budget.part(SUBMITTERS_SHARE))
     try:
         listener.bind(*config.listen)
     except OSError as fault:
         raise ConfigError(f"BALANCER_LISTEN: cannot listen there: {fault.strerror}") from None
     exchange.start(pool, discovery, config.known)
-    if not config.settings.watch_needed and not await discovery.heard(AGENT_S):
+    if not config.settings.list_on_request and not await discovery.heard(AGENT_S):
         logger.warning("no list from the agent at the start: what was known last holds")
     if not stop.is_set():  # told to end before it could begin: nobody is let in
         listener.accept()
         logger.info(
-            "{} serves at {}:{}; {} machines known", config.name, *config.listen, len(config.known.machines)
+            "{} serves at {}:{}; {} machines known", config.name, *config.listen, len(config.known.endpoints)
         )
         gc.collect()
         gc.freeze()
         gc.set_threshold(*GC_THRESHOLDS)
         await stop.wait()
-        logger.info("{} drains; {} requests owed", config.name, exchange.owed)
+        logger.info("{} drains; {} requests owed", config.name, exchange.pending)
         await _drain(exchange, listener, config)
     logger.info("{} ends; {}", config.name, exchange.counts)
 
@@ -101,7 +101,7 @@
     listener.drain()
     await asyncio.sleep(ACCEPT_S)
     listener.stop_accepting()
-    while (exchange.owed or listener.held) and loop.time() < last:
+    while (exchange.pending or listener.held) and loop.time() < last:
         await asyncio.sleep(DRAIN_STEP_S)
         listener.close_idle()
     exchange.end()
--- a/alderspool/program/cli.py
+++ b/alderspool/program/cli.py
@@ -92,5 +92,5 @@
         f"{config.name}: listens at {config.listen[0]}:{config.listen[1]},"
         f" discovery at {config.discovery[0]}:{config.discovery[1]},"
         f" {len(config.settings.classes)} classes, {len(config.settings.tenants)} tenants,"
-        f" {len(config.known.machines)} machines known, {config.limits.sockets} sockets"
+        f" {len(config.known.endpoints)} machines known, {config.limits.sockets} sockets"
     )
--- a/alderspool/program/config.py
+++ b/alderspool/program/config.py
@@ -9,15 +9,16 @@
 
 import msgspec
 
-from alderspool.protocol.machine_list import (
-    MachineListDoc,
-    MachineListError,
+from alderspool.balancer.settings import Settings, SettingsError
+from alderspool.balancer.settings_reader import read_settings
+from alderspool.protocol.endpoint_list import (
+    EndpointListDoc,
+    EndpointListError,
     as_setting,
     parse_address,
-    to_machine_list,
+    to_endpoint_list,
 )
-from alderspool.routing.messages import MachineList
-from lynxlift.interface import Settings, SettingsError
+from alderspool.routing.messages import EndpointList
 
 
 class ConfigError(ValueError):
@@ -37,7 +38,7 @@
     listen: str = ""
     discovery: str = ""
     limits: LimitsDoc = msgspec.field(default_factory=LimitsDoc)
-    known: MachineListDoc = msgspec.field(default_factory=lambda: MachineListDoc(0, True, []))
+    known: EndpointListDoc = msgspec.field(default_factory=lambda: EndpointListDoc(0, True, []))
 
 
 @dataclass(slots=True)
@@ -47,7 +48,7 @@
     discovery: tuple[str, int]
     seed: int
     limits: LimitsDoc
-    known: MachineList
+    known: EndpointList
     settings: Settings
 
 
@@ -89,12 +90,12 @@
     except (msgspec.MsgspecError, UnicodeDecodeError) as fault:
         raise ConfigError(f"BALANCER_CONFIG: {fault}") from None
     try:
-        settings = Settings.from_pairs(flatten(doc.settings))
+        settings = read_settings(flatten(doc.settings))
     except SettingsError as fault:
         raise ConfigError(f"settings.{fault}") from None
     try:
-        known = to_machine_list(doc.known, settings)
-    except MachineListError as fault:
+        known = to_endpoint_list(doc.known, settings)
+    except EndpointListError as fault:
         raise ConfigError(f"known: {fault}") from None
     if doc.limits.sockets < 64:
         raise ConfigError(f"limits.sockets: under 64: {doc.limits.sockets}")
@@ -117,5 +118,5 @@
 def _address(key: str, text: str) -> tuple[str, int]:
     try:
         return parse_address(text)
-    except MachineListError as fault:
+    except EndpointListError as fault:
         raise ConfigError(f"{key}: {fault}") from None
--- a/alderspool/protocol/submitters.py
+++ b/alderspool/protocol/downstream.py
@@ -1,4 +1,4 @@
-"""The submitters' HTTP: their requests as submissions, and the answers to them as bytes."""
+"""The clients' HTTP: their requests as submissions, and the answers to them as bytes."""
 
 from __future__ import annotations
 
@@ -9,11 +9,11 @@
 import httptools
 import msgspec
 
-from alderspool.protocol.claims import BODY_LIMIT, HOP_BY_HOP, ExecuteNodeAnswer, ForwardRequest
-from alderspool.protocol.http_parts import HttpParts
-from alderspool.protocol.machine_list import as_setting
-from alderspool.routing.messages import Failed, FinalAnswer, RequeueNotice, Served, Submission
-from lynxlift.interface import Effect, Settings
+from alderspool.balancer.settings import Idempotency, Settings
+from alderspool.protocol.endpoint_list import as_setting
+from alderspool.protocol.http_parts import HttpMessageCollector
+from alderspool.protocol.upstream import BODY_LIMIT, HOP_BY_HOP, ForwardedRequest, UpstreamResponse
+from alderspool.routing.messages import ClientRequest, Failed, FinalResponse, Rejected, Served
 
 LONGEST_WAIT_MS = 3_600_000
 _REASONS = {
@@ -38,11 +38,11 @@
     target: bytes
     headers: list[tuple[bytes, bytes]]
     body: bytes
-    keep: bool = True  # the submitter goes on using the connection
+    keep: bool = True  # the client goes on using the connection
 
 
 @dataclass(slots=True)
-class Rejection:
+class InvalidRequest:
     """Bad input: answered here, and never told to anyone."""
 
     status: int
@@ -50,38 +50,38 @@
     headers: list[tuple[bytes, bytes]] = field(default_factory=list)
 
 
-class ReadyQuery:
+class ReadinessQuery:
     """GET /ready: whether this proxy can serve."""
 
 
 NEED_DATA, PAUSED, CONTINUE, ENDED = "need data", "paused", "continue", "ended"
 
 
-class Reader:
+class RequestReader:
     """Turns raw requests into submissions, by the settings' classes and tenants."""
 
     def __init__(self, settings: Settings) -> None:
         self._classes = {as_setting(c.name): i for i, c in enumerate(settings.classes)}
-        self._effects = [c.effect for c in settings.classes]
+        self._effects = [c.idempotency for c in settings.classes]
         self._tenants = {as_setting(t.name): i for i, t in enumerate(settings.tenants)}
 
-    def read(self, raw: RawRequest) -> Submission | Rejection | ReadyQuery:
+    def read(self, raw: RawRequest) -> ClientRequest | InvalidRequest | ReadinessQuery:
         path = raw.target.partition(b"?")[0]
         if path == b"/ready":
-            return ReadyQuery() if raw.method == b"GET" else _wrong_method(b"GET")
+            return ReadinessQuery() if raw.method == b"GET" else _wrong_method(b"GET")
         parts = path.split(b"/")
         name = as_setting(parts[1].decode("latin-1")) if len(parts) > 1 and not parts[0] else ""
         cls = self._classes.get(name)
         if cls is None:
-            return Rejection(404, "unknown path")
-        wanted = b"GET" if self._effects[cls] == Effect.FREE else b"POST"
+            return InvalidRequest(404, "unknown path")
+        wanted = b"GET" if self._effects[cls] == Idempotency.IDEMPOTENT else b"POST"
         if raw.method != wanted:
             return _wrong_method(wanted)
         seen: dict[bytes, bytes] = {}
         passed: list[tuple[bytes, bytes]] = []
         for key, value in raw.headers:
             if key in _SINGLE and key in seen:
-                return Rejection(400, f"{key.decode()}: given twice")
+                return InvalidRequest(400, f"{key.decode()}: given twice")
             seen[key] = value
             if key not in HOP_BY_HOP:
                 passed.append((key, value))
@@ -97,31 +97,31 @@
         parts: list[bytes],
         seen: dict[bytes, bytes],
         passed: list[tuple[bytes, bytes]],
-    ) -> Submission | Rejection:
+    ) -> ClientRequest | InvalidRequest:
         if as_setting(seen.get(b"x-class", b"").decode("latin-1")) != name:
-            return Rejection(400, "X-Class: missing, unknown or not the path's")
+            return InvalidRequest(400, "X-Class: missing, unknown or not the path's")
         tenant = 0
         if self._tenants:
             found = self._tenants.get(as_setting(seen.get(b"x-tenant", b"").decode("latin-1")))
             if found is None:
-                return Rejection(400, "X-Tenant: missing or unknown")
+                return InvalidRequest(400, "X-Tenant: missing or unknown")
             tenant = found
         wait = seen.get(b"x-deadline-ms", b"")
         if not (wait.isdigit() and len(wait) <= 7 and 0 < int(wait) <= LONGEST_WAIT_MS):
-            return Rejection(400, "X-Deadline-Ms: missing or not a whole number of milliseconds")
+            return InvalidRequest(400, "X-Deadline-Ms: missing or not a whole number of milliseconds")
         if not seen.get(b"x-request-id"):
-            return Rejection(400, "X-Request-Id: missing")
+            return InvalidRequest(400, "X-Request-Id: missing")
         # The key decides what a repeat does: one missing, or where none belongs, contradicts the class.
-        if bool(seen.get(b"idempotency-key")) != (self._effects[cls] == Effect.GUARDED):
-            return Rejection(400, "Idempotency-Key: not as the class demands")
+        if bool(seen.get(b"idempotency-key")) != (self._effects[cls] == Idempotency.KEYED):
+            return InvalidRequest(400, "Idempotency-Key: not as the class demands")
         if raw.body and raw.method == b"GET":
-            return Rejection(400, "a GET with a body")
-        return Submission(
+            return InvalidRequest(400, "a GET with a body")
+        return ClientRequest(
             cls,
             tenant,
             _key_of(parts[-1]) if len(parts) > 2 else 0,
             float(wait),
-            ForwardRequest(raw.method, raw.target, passed, raw.body),
+            ForwardedRequest(raw.method, raw.target, passed, raw.body),
             name=seen[b"x-request-id"],
             is_repeat=seen.get(b"x-retry") == b"1",
             cost_hint_ms=_hint(seen.get(b"x-cost-hint")),
@@ -131,8 +131,8 @@
 _SINGLE = frozenset(b"x-class x-tenant x-deadline-ms x-request-id idempotency-key".split())
 
 
-def _wrong_method(allowed: bytes) -> Rejection:
-    return Rejection(405, "wrong method", [(b"Allow", allowed)])
+def _wrong_method(allowed: bytes) -> InvalidRequest:
+    return InvalidRequest(405, "wrong method", [(b"Allow", allowed)])
 
 
 def _key_of(part: bytes) -> int:
@@ -149,8 +149,8 @@
     return hint if 0.0 < hint < 1e9 else 0.0
 
 
-class SubmitterWire(HttpParts):
-    """One submitter's connection: bytes in, whole requests out; answers in, bytes out."""
+class HttpServerCodec(HttpMessageCollector):
+    """One client's connection: bytes in, whole requests out; answers in, bytes out."""
 
     def __init__(self) -> None:
         super().__init__(BODY_LIMIT)
@@ -184,7 +184,7 @@
             self._whole.append(RawRequest(method, self.target, self.headers, self.body, keep))
         self._awaits_go_on = False
 
-    def next(self) -> RawRequest | Rejection | str:
+    def next(self) -> RawRequest | InvalidRequest | str:
         """What came next; NEED_DATA, PAUSED (another request is still out), CONTINUE or ENDED."""
         if self._whole:
             if self._taken is not None:
@@ -197,7 +197,7 @@
             if self._taken is not None:
                 return PAUSED
             self._broken = True
-            return Rejection(*self.fault)
+            return InvalidRequest(*self.fault)
         if self._awaits_go_on and not self._parts and self._taken is None:
             return CONTINUE
         return NEED_DATA
@@ -217,12 +217,12 @@
         """Whether something of a further request has been read behind the one that is out."""
         return bool(self.begun or self._whole)
 
-    def too_slow(self) -> Rejection | None:
+    def too_slow(self) -> InvalidRequest | None:
         """For a request of which a part is still missing after too long."""
         if self._taken is not None or self._broken:
             return None
         self.fault, self._broken = (408, "request not whole in time"), True
-        return Rejection(*self.fault)
+        return InvalidRequest(*self.fault)
 
     def go_on(self) -> bytes:
         """The interim answer to `Expect: 100-continue`."""
@@ -245,12 +245,12 @@
         return b"%b\r\n%b" % (b"".join(lines), body), close
 
 
-def as_http(answer: FinalAnswer) -> tuple[int, bytes, list[tuple[bytes, bytes]]]:
-    """Status, body and headers of a final answer."""
+def as_http(answer: FinalResponse) -> tuple[int, bytes, list[tuple[bytes, bytes]]]:
+    """AttemptStatus, body and headers of a final answer."""
     if isinstance(answer, Served):
-        node: ExecuteNodeAnswer = answer.payload
-        return 200, node.body, [(b"Content-Type", node.content_type)] if node.content_type else []
-    if isinstance(answer, RequeueNotice):
+        endpoint: UpstreamResponse = answer.payload
+        return 200, endpoint.body, [(b"Content-Type", endpoint.content_type)] if endpoint.content_type else []
+    if isinstance(answer, Rejected):
         advice = answer.retry_after_ms
         later = [(b"Retry-After", b"%.3f" % (advice / 1000.0))] if advice > 0.0 else []
         return 503, error_body("refused; trying again is harmless"), [*later, _JSON]
@@ -265,13 +265,13 @@
     return msgspec.json.encode({"error": why}) + b"\n"
 
 
-def rejection_http(rejection: Rejection) -> tuple[int, bytes, list[tuple[bytes, bytes]]]:
+def rejection_http(rejection: InvalidRequest) -> tuple[int, bytes, list[tuple[bytes, bytes]]]:
     return rejection.status, error_body(rejection.why), [*rejection.headers, _JSON]
 
 
-def _turned_away() -> bytes:
-    status, body, headers = as_http(RequeueNotice())
-    return SubmitterWire().compose(status, body, headers, True)[0]
+def _connection_rejector() -> bytes:
+    status, body, headers = as_http(Rejected())
+    return HttpServerCodec().compose(status, body, headers, True)[0]
 
 
-TURNED_AWAY = _turned_away()  # the answer to whoever finds no place, whatever it asks
+CONNECTION_REJECTED = _connection_rejector()  # the answer to whoever finds no place, whatever it asks
--- a/alderspool/protocol/second_answers.py
+++ b/alderspool/protocol/duplicate_responses.py
@@ -1,31 +1,32 @@
-"""Which answer of an execute node is the last one of its connection come a second time. No I/O.
-
-A node may answer twice, some milliseconds apart. If the connection carries another claim by then, the
-second copy looks like that claim's answer, and nothing in HTTP tells them apart. Two things help: letting a
-connection rest for so long after an answer, which where nodes soon drop what idles costs as many lost claims
-as it saves, and looking whether the answer is the last one over again. The second holds only where answers
-differ from one another, which is watched; until that is sure, connections rest.
+"""Which answer of an endpoint is the last one of its connection come a second time. No I/O.
+
+An endpoint may respond twice, some milliseconds apart. If the connection carries another attempt by then,
+the duplicate looks like that attempt's response, and nothing in HTTP tells them apart. Two things help: not
+reusing a connection for so long after a response, which costs as many lost attempts as it saves where
+endpoints soon close idle connections, and looking whether the response equals the connection's last one. The
+second holds only where responses differ from one another, which is watched; until that is sure, connections
+are not reused at once.
 """
 
 from __future__ import annotations
 
-from alderspool.protocol.http_client import Reply
+from alderspool.protocol.http_client import HttpResponse
 
 SOON_S = 0.01  # no second copy comes later than this after the first
 SURE = 20  # answers in a row that differed from the one before on their connection
 
 
-def fingerprint(reply: Reply) -> int | None:
+def fingerprint(reply: HttpResponse) -> int | None:
     """What an answer is known by; None for those that are alike by nature and would tell nothing."""
     return hash(reply.body) if reply.status == 200 and reply.body else None
 
 
-class SecondAnswers:
+class DuplicateResponseDetector:
     def __init__(self) -> None:
         self._differed = 0
 
     def may_follow(self, last: int | None, after_s: float) -> bool:
-        """Whether a connection may carry a claim so long after an answer that is known by `last`."""
+        """Whether a connection may carry a attempt so long after an answer that is known by `last`."""
         return after_s >= SOON_S or last is not None and self._differed >= SURE
 
     def is_second(self, last: int | None, answer: int | None, after_s: float) -> bool:
--- a/alderspool/protocol/machine_list.py
+++ b/alderspool/protocol/endpoint_list.py
@@ -1,4 +1,4 @@
-"""The machine list in discovery's JSON, and the calls that ask for it."""
+"""The endpoint list in discovery's JSON, and the calls that ask for it."""
 
 from __future__ import annotations
 
@@ -8,9 +8,10 @@
 
 import msgspec
 
-from alderspool.protocol.http_client import ClientWire, Reply
-from alderspool.routing.messages import Machine, MachineList
-from lynxlift.interface import Availability, ServerEntry, Settings
+from alderspool.balancer.events import Availability, EndpointEntry
+from alderspool.balancer.settings import Settings
+from alderspool.protocol.http_client import HttpClientCodec, HttpResponse
+from alderspool.routing.messages import Endpoint, EndpointList
 
 LIST_LIMIT = 4 << 20
 _AVAILABILITY = {
@@ -20,8 +21,8 @@
 }
 
 
-class MachineListError(ValueError):
-    """An answer of discovery that is no machine list."""
+class EndpointListError(ValueError):
+    """An answer of discovery that is no endpoint list."""
 
 
 class EndpointDoc(msgspec.Struct):
@@ -35,13 +36,13 @@
     since_ms: float = 0.0
 
 
-class MachineListDoc(msgspec.Struct):
+class EndpointListDoc(msgspec.Struct):
     index: int
     snapshot: bool
     endpoints: list[EndpointDoc]
 
 
-_decoder = msgspec.json.Decoder(MachineListDoc)
+_decoder = msgspec.json.Decoder(EndpointListDoc)
 
 
 def as_setting(name: str) -> str:
@@ -55,9 +56,9 @@
     try:
         ipaddress.ip_address(host.strip("[]"))
     except ValueError:
-        raise MachineListError(f"not an IP address and port: {text!r}") from None
+        raise EndpointListError(f"not an IP address and port: {text!r}") from None
     if not (port.isascii() and port.isdigit() and 0 < int(port) < 65536):
-        raise MachineListError(f"not a port: {text!r}")
+        raise EndpointListError(f"not a port: {text!r}")
     return host.strip("[]"), int(port)
 
 
@@ -68,41 +69,41 @@
     return names.index(name) if name in names else len(names) + crc32(name.encode())
 
 
-def to_machine_list(doc: MachineListDoc, settings: Settings) -> MachineList:
-    machines = []
+def to_endpoint_list(doc: EndpointListDoc, settings: Settings) -> EndpointList:
+    endpoints = []
     for line in doc.endpoints:
         if not line.name:
-            raise MachineListError("an endpoint without a name")
+            raise EndpointListError("an endpoint without a name")
         if not 0 <= line.group or not line.since_ms >= 0.0:
-            raise MachineListError(f"{line.name}: a group or since_ms below zero")
+            raise EndpointListError(f"{line.name}: a group or since_ms below zero")
         host, port = parse_address(line.address)
-        entry = ServerEntry(
+        entry = EndpointEntry(
             id=line.name.encode(),
-            size=line.weight,
+            weight=line.weight,
             cell=line.group,
             started_at_ms=line.since_ms,  # the clock reads Unix time: nothing to convert, 0 stays 0
             availability=_AVAILABILITY[line.status],
             zone=_place(line.zone, settings.zones),
-            kind=_place(line.type, settings.kinds),
+            endpoint_type=_place(line.type, settings.endpoint_types),
         )
-        machines.append(Machine(entry, host, port))
-    return MachineList(doc.index, doc.snapshot, machines)
+        endpoints.append(Endpoint(entry, host, port))
+    return EndpointList(doc.index, doc.snapshot, endpoints)
 
 
-def list_wire() -> ClientWire:
-    return ClientWire(LIST_LIMIT)
+def discovery_codec() -> HttpClientCodec:
+    return HttpClientCodec(LIST_LIMIT)
 
 
-def compose_call(wire: ClientWire, host: str, since: int | None = None, wait_ms: int = 0) -> bytes:
+def compose_call(wire: HttpClientCodec, host: str, since: int | None = None, wait_ms: int = 0) -> bytes:
     """A watch on what is newer than version `since`, or the whole list where that is None."""
     target = "/v1/endpoints" if since is None else f"/v1/endpoints?since={since}&timeout_ms={wait_ms}"
     return wire.compose(b"GET", target.encode(), [(b"Host", host.encode())])
 
 
-def read_list(reply: Reply, settings: Settings) -> MachineList:
+def read_list(reply: HttpResponse, settings: Settings) -> EndpointList:
     if reply.status != 200:
-        raise MachineListError(f"discovery answered {reply.status}")
+        raise EndpointListError(f"discovery answered {reply.status}")
     try:
-        return to_machine_list(_decoder.decode(reply.body), settings)
+        return to_endpoint_list(_decoder.decode(reply.body), settings)
     except (msgspec.MsgspecError, UnicodeDecodeError) as fault:
-        raise MachineListError(str(fault)) from None
+        raise EndpointListError(str(fault)) from None
--- a/alderspool/protocol/http_client.py
+++ b/alderspool/protocol/http_client.py
@@ -7,27 +7,27 @@
 
 import httptools
 
-from alderspool.protocol.http_parts import HttpParts
+from alderspool.protocol.http_parts import HttpMessageCollector
 
 MOST_INTERIM = 8  # 1xx answers in front of a reply; without end they would hold its connection for ever
 
 
-class BrokenReplyError(Exception):
+class BrokenResponseError(Exception):
     """The reply ended early, is too long, or is no HTTP."""
 
 
 @dataclass(slots=True)
-class Reply:
+class HttpResponse:
     status: int
     headers: dict[bytes, bytes]
     body: bytes
 
 
-class ClientWire(HttpParts):
+class HttpClientCodec(HttpMessageCollector):
     def __init__(self, body_limit: int) -> None:
         super().__init__(body_limit)
         self._parser = httptools.HttpResponseParser(self)
-        self._reply: Reply | None = None
+        self._reply: HttpResponse | None = None
         self._interim = 0
         self._status = 0
         self._asked = False  # a request is out
@@ -45,12 +45,12 @@
             lines.append(b"Content-Length: %d\r\n" % len(body))
         return b"%b\r\n%b" % (b"".join(lines), body)
 
-    def receive(self, data: bytes | None) -> Reply | None:
+    def receive(self, data: bytes | None) -> HttpResponse | None:
         """The reply once it is whole; b"" says that the sender has ended the stream, None that the connection
         was reset, which is no end: half an answer would pass as whole."""
         if not data:
             if data is None or not self._until_end or self.fault is not None:
-                raise BrokenReplyError("the connection ended")
+                raise BrokenResponseError("the connection ended")
             self.message_done()
             return self._whole()
         try:
@@ -58,12 +58,12 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as fault:
             self.reusable = False
             if self._reply is None:
-                raise BrokenReplyError(str(fault)) from None
+                raise BrokenResponseError(str(fault)) from None
         if self._reply is None and self.fault is not None:
-            raise BrokenReplyError(self.fault[1])
+            raise BrokenResponseError(self.fault[1])
         return self._whole()
 
-    def _whole(self) -> Reply | None:
+    def _whole(self) -> HttpResponse | None:
         reply, self._reply = self._reply, None
         return reply
 
@@ -87,4 +87,4 @@
     def message_done(self) -> None:
         if self._asked and self._status >= 200 and self.fault is None:
             self._asked = self._until_end = False
-            self._reply = Reply(self._status, dict(self.headers), self.body)
+            self._reply = HttpResponse(self._status, dict(self.headers), self.body)
--- a/alderspool/protocol/http_parts.py
+++ b/alderspool/protocol/http_parts.py
@@ -10,7 +10,7 @@
 Headers = list[tuple[bytes, bytes]]
 
 
-class HttpParts:
+class HttpMessageCollector:
     """Collects messages, one after the other. What is too long sets `fault`, and from then on nothing
     more is collected: who sends without end must not fill the memory."""
 
--- a/alderspool/routing/__init__.py
+++ b/alderspool/routing/__init__.py
@@ -1,1 +1,1 @@
-"""Carries requests from submitters to execute nodes as the decision module says. Knows no HTTP."""
+"""Carries requests from clients to endpoints as the decision module says. Knows no HTTP."""
--- a/alderspool/routing/exchange.py
+++ b/alderspool/routing/exchange.py
@@ -1,4 +1,4 @@
-"""The exchange: where submitters' requests and execute nodes' claims meet, round the one Balancer.
+"""The exchange: where clients' requests and endpoints' attempts meet, round the one Balancer.
 
 It feeds the Balancer events one at a time and in order, carries out its actions, and keeps the
 timers, the deadlines and the ledger of what is owed. It decides nothing and knows no protocol.
@@ -12,96 +12,123 @@
 
 from loguru import logger
 
+from alderspool.balancer.actions import (
+    Action,
+    Cancel,
+    CheckHealth,
+    CloseIdle,
+    Fail,
+    FetchList,
+    Log,
+    Reject,
+    Send,
+    SendToPeer,
+    SetTimer,
+    Watch,
+)
+from alderspool.balancer.balancer import Balancer
+from alderspool.balancer.events import (
+    AttemptStatus,
+    Availability,
+    ClientDisconnected,
+    EndpointId,
+    EndpointListUpdate,
+    Event,
+    HealthChecked,
+    Outcome,
+    Request,
+    TimerFired,
+    UpdateMode,
+)
+from alderspool.balancer.settings import Settings
 from alderspool.routing.clock import Clock
 from alderspool.routing.messages import (
-    AnswerCallback,
-    Claim,
+    Attempt,
+    ClientRequest,
     Discovery,
-    ExecuteNodes,
+    Endpoint,
+    EndpointList,
     Failed,
-    FinalAnswer,
-    Machine,
-    MachineList,
-    RequeueNotice,
+    FinalResponse,
+    Rejected,
+    ResponseCallback,
     Served,
-    Submission,
+    Upstream,
 )
-from lynxlift import interface as api
-from lynxlift.rules import Balancer
 
-S = api.Status
+S = AttemptStatus
 LOG_LINES = 200  # lines of the module's and of its faults that are logged in one life
 ID_SPACE = 1 << 32
 
 
 @dataclass(slots=True)
-class Owed:
-    """A request in the ledger: its final answer is owed, or claims of it are out."""
+class PendingRequest:
+    """A request in the ledger: its final answer is owed, or attempts of it are out."""
 
-    submission: Submission
-    answer: AnswerCallback
+    submission: ClientRequest
+    answer: ResponseCallback
     deadline: float
     timer: asyncio.TimerHandle
-    claims: list[Claim] = field(default_factory=list)
+    attempts: list[Attempt] = field(default_factory=list)
     out: int = 0
     concluded: bool = False
 
 
 class Exchange:
-    def __init__(self, settings: api.Settings, seed: int, clock: Clock) -> None:
+    def __init__(self, settings: Settings, seed: int, clock: Clock) -> None:
         self._settings, self._clock = settings, clock
         self._balancer = Balancer(settings, seed)
         self._loop = asyncio.get_running_loop()
-        self._nodes: ExecuteNodes
+        self._upstream: Upstream
         self._discovery: Discovery
-        self._machines: dict[api.ServerId, Machine] = {}
-        self._ledger: dict[int, Owed] = {}
-        self._open_names: set[bytes] = set()  # the submitters' own ids of what is in the ledger
+        self._endpoints: dict[EndpointId, Endpoint] = {}
+        self._pending: dict[int, PendingRequest] = {}
+        self._open_names: set[bytes] = set()  # the clients' own ids of what is in the ledger
         self._next_id = 0
-        self._events: deque[api.Event] = deque()
+        self._events: deque[Event] = deque()
         self._feeding = self._ended = False
         self._log_left = LOG_LINES
         self._list_failures = 0  # in a row
         self.counts = {"taken": 0, "served": 0, "requeued": 0, "failed": 0, "withdrawn": 0, "claims": 0}
 
-    def start(self, nodes: ExecuteNodes, discovery: Discovery, known: MachineList) -> None:
-        self._nodes, self._discovery = nodes, discovery
+    def start(self, endpoints: Upstream, discovery: Discovery, known: EndpointList) -> None:
+        self._upstream, self._discovery = endpoints, discovery
         self._carry_out(self._balancer.start(self._clock.now()))
-        if not self._settings.watch_needed:
+        if not self._settings.list_on_request:
             self._discovery.watch(True)  # where changes are pushed the module does not ask; here we must
-        self._take_list(known, api.ListMode.CACHED)
+        self._take_list(known, UpdateMode.CACHED)
 
-    # ---- the submitters' side ----------------------------------------------------------------
+    # ---- the clients' side ----------------------------------------------------------------
 
     @property
     def can_serve(self) -> bool:
-        return any(m.entry.availability == api.Availability.READY for m in self._machines.values())
+        return any(m.entry.availability == Availability.READY for m in self._endpoints.values())
 
     @property
-    def owed(self) -> int:
+    def pending(self) -> int:
         """Requests whose final answer is still owed."""
-        return sum(not owed.concluded for owed in self._ledger.values())
+        return sum(not pending.concluded for pending in self._pending.values())
 
     def is_open(self, name: bytes) -> bool:
         """Whether a request of this name is in the ledger. One more could not be told from it: an execute
         node takes it for a copy, and an answer to the one would pass for an answer to the other."""
         return name in self._open_names
 
-    def submit(self, submission: Submission, answer: AnswerCallback) -> int:
+    def submit(self, submission: ClientRequest, answer: ResponseCallback) -> int:
         """Takes a request; `answer` is called exactly once, perhaps before this returns."""
         self.counts["taken"] += 1
-        if self._ended or len(self._ledger) >= self._settings.max_open:
+        if self._ended or len(self._pending) >= self._settings.max_pending_requests:
             # Too late, or more than the settings let one instance hold: never reaches the module.
             self.counts["requeued"] += 1
-            answer(RequeueNotice())
+            answer(Rejected())
             return 0
         self._next_id = request_id = self._next_id % (ID_SPACE - 1) + 1
         deadline = self._clock.now() + submission.time_left_ms
         timer = self._loop.call_at(self._clock.loop_time(deadline), self._at_deadline, request_id)
-        self._ledger[request_id] = Owed(submission, answer, deadline, timer)
+        self._pending[request_id] = PendingRequest(submission, answer, deadline, timer)
         self._open_names.add(submission.name)
         self._feed(
-            api.Request(
+            Request(
                 request_id,
                 submission.time_left_ms,
                 submission.cls,
@@ -117,95 +144,97 @@
         """Answers at once whatever is still owed, and all that comes later: the program must leave now, and
         what it leaves without an answer is lost."""
         self._ended = True
-        for request_id, owed in list(self._ledger.items()):
-            if not owed.concluded:
-                self._answer_for(request_id, owed)
+        for request_id, pending in list(self._pending.items()):
+            if not pending.concluded:
+                self._answer_for(request_id, pending)
 
     def withdraw(self, request_id: int) -> None:
-        """The submitter went away: nothing is owed any longer."""
-        owed = self._ledger.get(request_id)
-        if owed is None or owed.concluded:
+        """The client went away: nothing is owed any longer."""
+        pending = self._pending.get(request_id)
+        if pending is None or pending.concluded:
             return
-        owed.concluded = True
+        pending.concluded = True
         self.counts["withdrawn"] += 1
-        self._feed(api.ClientGone(request_id))
-        self._settle(request_id, owed)
+        self._feed(ClientDisconnected(request_id))
+        self._settle(request_id, pending)
 
-    # ---- the execute nodes' side ---------------------------------------------------------------
+    # ---- the endpoints' side ---------------------------------------------------------------
 
-    def may_write(self, claim: Claim) -> bool:
-        """Asked just before a claim is written. Dialling takes time: a drain may have crossed it, its node
-        may be elsewhere, or the time be over in which a repeat is harmless. The submitter may have left
+    def may_write(self, attempt: Attempt) -> bool:
+        """Asked just before a attempt is written. Dialling takes time: a drain may have crossed it, its node
+        may be elsewhere, or the time be over in which a repeat is harmless. The client may have left
         unseen too, its end behind bytes that nobody has read: nothing is owed then."""
-        owed, now = self._ledger.get(claim.request_id), self._clock.now()
-        if claim.ended or owed is None or owed.concluded or now >= claim.expires_at:
+        pending, now = self._pending.get(attempt.request_id), self._clock.now()
+        if attempt.ended or pending is None or pending.concluded or now >= attempt.expires_at:
             return False
-        if not self._is_there(claim) or not self._balancer.may_begin(now, claim.request_id):
+        if not self._is_there(attempt) or not self._balancer.may_begin(now, attempt.request_id):
             return False
-        if owed.submission.gone():
-            self.withdraw(claim.request_id)
+        if pending.submission.gone():
+            self.withdraw(attempt.request_id)
             return False
         return True
 
-    def time_left_ms(self, claim: Claim) -> float:
-        return claim.expires_at - self._clock.now()
+    def time_left_ms(self, attempt: Attempt) -> float:
+        return attempt.expires_at - self._clock.now()
 
-    def claim_ended(self, claim: Claim, status: int, payload: object = None) -> None:
-        """How a claim ended. The first that is served answers its request."""
-        owed = self._ledger.get(claim.request_id)
-        if claim.ended or owed is None:
+    def attempt_ended(self, attempt: Attempt, status: int, payload: object = None) -> None:
+        """How a attempt ended. The first that is served answers its request."""
+        pending = self._pending.get(attempt.request_id)
+        if attempt.ended or pending is None:
             return
-        claim.ended = True
-        owed.out -= 1
-        if status == S.OK and not owed.concluded:
-            self._conclude(claim.request_id, owed, Served(payload), "served")
-        took = self._clock.now() - claim.made_at
-        self._feed(api.Outcome(claim.request_id, claim.number, claim.node, status, took, owed.concluded))
-        self._settle(claim.request_id, owed)
+        attempt.ended = True
+        pending.out -= 1
+        if status == S.OK and not pending.concluded:
+            self._conclude(attempt.request_id, pending, Served(payload), "served")
+        took = self._clock.now() - attempt.started_at
+        self._feed(
+            Outcome(attempt.request_id, attempt.number, attempt.endpoint, status, took, pending.concluded)
+        )
+        self._settle(attempt.request_id, pending)
 
-    def probe_ended(self, node: api.ServerId, status: int, took_ms: float) -> None:
-        self._feed(api.Probed(node, status, took_ms))
+    def health_check_ended(self, endpoint: EndpointId, status: int, took_ms: float) -> None:
+        self._feed(HealthChecked(endpoint, status, took_ms))
 
-    # ---- the machine list's side ---------------------------------------------------------------
+    # ---- the endpoint list's side ---------------------------------------------------------------
 
-    def list_told(self, told: MachineList) -> None:
+    def list_received(self, told: EndpointList) -> None:
         if self._list_failures:
             self._log("info", "discovery answers again, after {} calls that failed", self._list_failures)
             self._list_failures = 0
-        self._take_list(told, api.ListMode.FULL if told.whole else api.ListMode.DELTA)
+        self._take_list(told, UpdateMode.FULL if told.whole else UpdateMode.DELTA)
 
-    def list_failed(self, why: str) -> None:
+    def list_call_failed(self, why: str) -> None:
         """A call to discovery failed: the old list holds."""
         self._list_failures += 1
         if self._list_failures == 1:  # it is asked again and again: one line each would fill the log
             self._log("warning", "discovery: {}", why)
-        self._feed(api.ServerList(api.ListMode.FAILED, []))
-
-    def _take_list(self, told: MachineList, mode: api.ListMode) -> None:
-        before = self._machines
-        machines = {} if mode != api.ListMode.DELTA else dict(before)
-        machines.update((m.entry.id, m) for m in told.machines)
-        self._machines = {
-            name: m for name, m in machines.items() if m.entry.availability != api.Availability.GONE
+        self._feed(EndpointListUpdate(UpdateMode.FAILED, []))
+
+    def _take_list(self, told: EndpointList, mode: UpdateMode) -> None:
+        before = self._endpoints
+        endpoints = {} if mode != UpdateMode.DELTA else dict(before)
+        endpoints.update((m.entry.id, m) for m in told.endpoints)
+        self._endpoints = {
+            name: m for name, m in endpoints.items() if m.entry.availability != Availability.GONE
         }
-        for name, machine in before.items():
-            now = self._machines.get(name)
-            moved = now is None or (now.host, now.port) != (machine.host, machine.port)
-            if moved or now.entry.availability != api.Availability.READY:
-                self._nodes.close_idle(name)  # nothing new goes there, or it is reached elsewhere now
-        self._feed(api.ServerList(mode, [m.entry for m in told.machines], told.revision))
-
-    def _is_there(self, claim: Claim) -> bool:
-        """Whether its node is ready, and still where the claim was to go: one that went and came again
+        for name, endpoint in before.items():
+            now = self._endpoints.get(name)
+            moved = now is None or (now.host, now.port) != (endpoint.host, endpoint.port)
+            if moved or now.entry.availability != Availability.READY:
+                self._upstream.close_idle(name)  # nothing new goes there, or it is reached elsewhere now
+        self._feed(EndpointListUpdate(mode, [m.entry for m in told.endpoints], told.revision))
+
+    def _is_there(self, attempt: Attempt) -> bool:
+        """Whether its node is ready, and still where the attempt was to go: one that went and came again
         elsewhere has left something else at its old address."""
-        machine = self._machines.get(claim.node)
-        if machine is None or machine.entry.availability != api.Availability.READY:
+        endpoint = self._endpoints.get(attempt.endpoint)
+        if endpoint is None or endpoint.entry.availability != Availability.READY:
             return False
-        return (machine.host, machine.port) == (claim.host, claim.port)
+        return (endpoint.host, endpoint.port) == (attempt.host, attempt.port)
 
     # ---- the Balancer: events in, actions out ---------------------------------------------------
 
-    def _feed(self, event: api.Event) -> None:
+    def _feed(self, event: Event) -> None:
         """One event at a time: what an action brings about waits until the Balancer has returned."""
         self._events.append(event)
         if self._feeding:
@@ -214,10 +243,10 @@
         try:
             while self._events:
                 event = self._events.popleft()
-                if type(event) is api.Outcome and not event.finished:
+                if type(event) is Outcome and not event.finished:
                     # An action between may have concluded the request: it must not be sent again.
-                    owed = self._ledger.get(event.id)
-                    event.finished = owed is None or owed.concluded
+                    pending = self._pending.get(event.id)
+                    event.finished = pending is None or pending.concluded
                 try:
                     self._carry_out(self._balancer.handle(self._clock.now(), event))
                 except Exception:  # a fault over one event must not cost the other requests their answers
@@ -225,62 +254,73 @@
         finally:
             self._feeding = False
 
-    def _carry_out(self, actions: list[api.Action]) -> None:
+    def _carry_out(self, actions: list[Action]) -> None:
         for action in actions:
             self._ACTIONS[type(action)](self, action)
 
-    def _send(self, action: api.Send) -> None:
-        owed = self._ledger.get(action.id)
-        if owed is None:
-            return  # over, and no claim of it is out: there is nothing to report it to
+    def _send(self, action: Send) -> None:
+        pending = self._pending.get(action.id)
+        if pending is None:
+            return  # over, and no attempt of it is out: there is nothing to report it to
         now = self._clock.now()
-        expires = min(owed.deadline, now + action.timeout_ms) if action.timeout_ms else owed.deadline
-        machine = self._machines.get(action.server)
-        host, port = (machine.host, machine.port) if machine else ("", 0)
-        claim = Claim(
-            action.id, len(owed.claims), action.server, host, port, owed.submission.payload, now, expires
+        expires = min(pending.deadline, now + action.timeout_ms) if action.timeout_ms else pending.deadline
+        endpoint = self._endpoints.get(action.endpoint)
+        host, port = (endpoint.host, endpoint.port) if endpoint else ("", 0)
+        attempt = Attempt(
+            action.id,
+            len(pending.attempts),
+            action.endpoint,
+            host,
+            port,
+            pending.submission.payload,
+            now,
+            expires,
         )
-        owed.claims.append(claim)
-        owed.out += 1
-        if claim.number >= self._settings.max_attempts or not self.may_write(claim):
-            # Over, out of time, too many, or its node drains: such a claim must never reach a node.
-            self.claim_ended(claim, S.NEVER_SENT)
+        pending.attempts.append(attempt)
+        pending.out += 1
+        if attempt.number >= self._settings.max_attempts or not self.may_write(attempt):
+            # Over, out of time, too many, or its node drains: such a attempt must never reach a node.
+            self.attempt_ended(attempt, S.NEVER_SENT)
             return
         self.counts["claims"] += 1
-        if expires < owed.deadline:
-            self._loop.call_at(self._clock.loop_time(expires), self._expire, claim)
-        self._nodes.dispatch(claim)
+        if expires < pending.deadline:
+            self._loop.call_at(self._clock.loop_time(expires), self._expire, attempt)
+        self._upstream.dispatch(attempt)
 
-    def _refuse(self, action: api.Refuse) -> None:
-        self._conclude_by(action.id, RequeueNotice(action.retry_after_ms), "requeued")
+    def _refuse(self, action: Reject) -> None:
+        self._conclude_by(action.id, Rejected(action.retry_after_ms), "requeued")
 
-    def _fail(self, action: api.Fail) -> None:
-        owed = self._ledger.get(action.id)
-        late = owed is not None and self._clock.now() >= owed.deadline
+    def _fail(self, action: Fail) -> None:
+        pending = self._pending.get(action.id)
+        late = pending is not None and self._clock.now() >= pending.deadline
         self._conclude_by(action.id, Failed(timed_out=late), "failed")
 
-    def _cancel(self, action: api.Cancel) -> None:
-        owed = self._ledger.get(action.id)
-        if owed is None or action.attempt >= len(owed.claims) or owed.claims[action.attempt].ended:
+    def _cancel(self, action: Cancel) -> None:
+        pending = self._pending.get(action.id)
+        if (
+            pending is None
+            or action.attempt >= len(pending.attempts)
+            or pending.attempts[action.attempt].ended
+        ):
             return  # its outcome is already on its way
-        claim = owed.claims[action.attempt]
-        self._nodes.withdraw(claim)
-        self.claim_ended(claim, S.CANCELLED)
+        attempt = pending.attempts[action.attempt]
+        self._upstream.withdraw(attempt)
+        self.attempt_ended(attempt, S.CANCELLED)
 
-    def _set_timer(self, action: api.SetTimer) -> None:
-        self._loop.call_later(action.delay_ms / 1000.0, self._feed, api.TimerDue(action.token))
+    def _set_timer(self, action: SetTimer) -> None:
+        self._loop.call_later(action.delay_ms / 1000.0, self._feed, TimerFired(action.token))
 
-    def _probe(self, action: api.Probe) -> None:
-        machine = self._machines.get(action.server)
-        if machine is None or not self._settings.can_probe:
-            self._feed(api.Probed(action.server, S.NEVER_SENT, 0.0))
+    def _probe(self, action: CheckHealth) -> None:
+        endpoint = self._endpoints.get(action.endpoint)
+        if endpoint is None or not self._settings.health_checks_allowed:
+            self._feed(HealthChecked(action.endpoint, S.NEVER_SENT, 0.0))
         else:
-            self._nodes.probe(action.server, machine.host, machine.port)
+            self._upstream.probe(action.endpoint, endpoint.host, endpoint.port)
 
-    def _module_log(self, action: api.Log) -> None:
+    def _module_log(self, action: Log) -> None:
         """The module knows a machine by the bytes of its name and logs them in hex; people know the name."""
         text = action.text
-        for name in self._machines:
+        for name in self._endpoints:
             text = text.replace(name.hex(), name.decode())
         self._log("info", "module: {}", text)
 
@@ -290,67 +330,67 @@
             getattr(logger, level)(text, *parts)
 
     _ACTIONS = {
-        api.Send: _send,
-        api.Refuse: _refuse,
-        api.Fail: _fail,
-        api.Cancel: _cancel,
-        api.SetTimer: _set_timer,
-        api.Probe: _probe,
-        api.Watch: lambda self, action: self._discovery.watch(action.on),
-        api.FetchList: lambda self, action: self._discovery.fetch(),
-        api.CloseIdle: lambda self, action: self._nodes.close_idle(action.server),
-        api.TellPeer: lambda self, action: None,  # the protocol has no channel between proxies
-        api.Log: _module_log,
+        Send: _send,
+        Reject: _refuse,
+        Fail: _fail,
+        Cancel: _cancel,
+        SetTimer: _set_timer,
+        CheckHealth: _probe,
+        Watch: lambda self, action: self._discovery.watch(action.on),
+        FetchList: lambda self, action: self._discovery.fetch(),
+        CloseIdle: lambda self, action: self._upstream.close_idle(action.endpoint),
+        SendToPeer: lambda self, action: None,  # the protocol has no channel between proxies
+        Log: _module_log,
     }
 
     # ---- the ledger -------------------------------------------------------------------------------
 
-    def _conclude_by(self, request_id: int, answer: FinalAnswer, how: str) -> None:
-        owed = self._ledger.get(request_id)
-        if owed is not None and not owed.concluded:  # exactly one final answer
-            self._conclude(request_id, owed, answer, how)
-            self._settle(request_id, owed)
+    def _conclude_by(self, request_id: int, answer: FinalResponse, how: str) -> None:
+        pending = self._pending.get(request_id)
+        if pending is not None and not pending.concluded:  # exactly one final answer
+            self._conclude(request_id, pending, answer, how)
+            self._settle(request_id, pending)
 
-    def _conclude(self, request_id: int, owed: Owed, answer: FinalAnswer, how: str) -> None:
-        owed.concluded = True
+    def _conclude(self, request_id: int, pending: PendingRequest, answer: FinalResponse, how: str) -> None:
+        pending.concluded = True
         self.counts[how] += 1
         try:
-            owed.answer(answer)
-        except Exception:  # one submitter's broken connection must not keep the outcome from the module
+            pending.answer(answer)
+        except Exception:  # one client's broken connection must not keep the outcome from the module
             self._log("exception", "an answer could not be given")
 
-    def _settle(self, request_id: int, owed: Owed) -> None:
-        if owed.concluded and not owed.out:
-            owed.timer.cancel()
-            if self._ledger.pop(request_id, None) is not None:
-                self._open_names.discard(owed.submission.name)
+    def _settle(self, request_id: int, pending: PendingRequest) -> None:
+        if pending.concluded and not pending.out:
+            pending.timer.cancel()
+            if self._pending.pop(request_id, None) is not None:
+                self._open_names.discard(pending.submission.name)
 
-    def _expire(self, claim: Claim) -> None:
+    def _expire(self, attempt: Attempt) -> None:
         """Its time is over. What was not yet written has surely not run."""
-        if not claim.ended:
-            self._nodes.withdraw(claim)
-            self.claim_ended(claim, S.TIMEOUT if claim.written else S.NEVER_SENT)
+        if not attempt.ended:
+            self._upstream.withdraw(attempt)
+            self.attempt_ended(attempt, S.TIMEOUT if attempt.written else S.NEVER_SENT)
 
     def _at_deadline(self, request_id: int) -> None:
-        """No claim outlives its request: a node that stays silent must not leave it unanswered."""
-        owed = self._ledger.get(request_id)
-        if owed is None:
+        """No attempt outlives its request: a node that stays silent must not leave it unanswered."""
+        pending = self._pending.get(request_id)
+        if pending is None:
             return
-        for claim in [c for c in owed.claims if not c.ended]:
-            self._expire(claim)
-        if not owed.concluded:
+        for attempt in [c for c in pending.attempts if not c.ended]:
+            self._expire(attempt)
+        if not pending.concluded:
             # The module still holds it: what is owed by now is owed whatever the module thinks.
-            wait = self._settings.answer_slack_ms / 1000.0
-            owed.timer = self._loop.call_later(wait, self._overdue, request_id)
+            wait = self._settings.response_slack_ms / 1000.0
+            pending.timer = self._loop.call_later(wait, self._overdue, request_id)
 
     def _overdue(self, request_id: int) -> None:
-        owed = self._ledger.get(request_id)
-        if owed is not None and not owed.concluded:
+        pending = self._pending.get(request_id)
+        if pending is not None and not pending.concluded:
             self._log("error", "request {} overdue: the module left it unanswered", request_id)
-            self._answer_for(request_id, owed)
+            self._answer_for(request_id, pending)
 
-    def _answer_for(self, request_id: int, owed: Owed) -> None:
-        """The final answer in the module's place, which takes it as it takes a submitter's leaving."""
-        self._conclude(request_id, owed, Failed(timed_out=True), "failed")
-        self._feed(api.ClientGone(request_id))
-        self._settle(request_id, owed)
+    def _answer_for(self, request_id: int, pending: PendingRequest) -> None:
+        """The final answer in the module's place, which takes it as it takes a client's leaving."""
+        self._conclude(request_id, pending, Failed(timed_out=True), "failed")
+        self._feed(ClientDisconnected(request_id))
+        self._settle(request_id, pending)
--- a/alderspool/routing/messages.py
+++ b/alderspool/routing/messages.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
-from lynxlift import interface as api
+from alderspool.balancer.events import EndpointEntry, EndpointId
 
 
 def _stays() -> bool:
@@ -14,16 +14,16 @@
 
 
 @dataclass(slots=True)
-class Submission:
-    """One request of a submitter. `payload` is the protocol's own and passes through unread. `gone`: whether
-    its submitter has left by now; asked just before each claim of it is written."""
+class ClientRequest:
+    """One request of a client. `payload` is the protocol's own and passes through unread. `gone`: whether
+    its client has left by now; asked just before each attempt of it is written."""
 
     cls: int
     tenant: int
     key: int
     time_left_ms: float
     payload: Any
-    name: bytes = b""  # the submitter's own id of it, unique among what is open; b"": none
+    name: bytes = b""  # the client's own id of it, unique among what is open; b"": none
     is_repeat: bool = False
     cost_hint_ms: float = 0.0
     gone: Callable[[], bool] = _stays
@@ -31,13 +31,13 @@
 
 @dataclass(slots=True)
 class Served:
-    """An execute node's answer; `payload` is the protocol's own."""
+    """An endpoint's answer; `payload` is the protocol's own."""
 
     payload: Any
 
 
 @dataclass(slots=True)
-class RequeueNotice:
+class Rejected:
     """Refused: trying again is harmless."""
 
     retry_after_ms: float = 0.0  # 0 = no advice
@@ -50,63 +50,63 @@
     timed_out: bool = False
 
 
-FinalAnswer = Served | RequeueNotice | Failed
-AnswerCallback = Callable[[FinalAnswer], None]
+FinalResponse = Served | Rejected | Failed
+ResponseCallback = Callable[[FinalResponse], None]
 
 
 @dataclass(slots=True)
-class Machine:
-    """One line of the machine list, with the address that this proxy reaches it at."""
+class Endpoint:
+    """One line of the endpoint list, with the address that this proxy reaches it at."""
 
-    entry: api.ServerEntry
+    entry: EndpointEntry
     host: str
     port: int
 
 
 @dataclass(slots=True)
-class MachineList:
+class EndpointList:
     """What discovery said: the whole list, or what changed."""
 
     revision: int
     whole: bool
-    machines: list[Machine]
+    endpoints: list[Endpoint]
 
 
 @dataclass(slots=True, eq=False)
-class Claim:
-    """One attempt of a request at one execute node."""
+class Attempt:
+    """One attempt of a request at one endpoint."""
 
     request_id: int
-    number: int  # among the claims of its request, from 0
-    node: api.ServerId
+    number: int  # among the attempts of its request, from 0
+    endpoint: EndpointId
     host: str
     port: int
     payload: Any
-    made_at: float
+    started_at: float
     expires_at: float
     written: bool = False  # its last byte was handed over: it may have run
     ended: bool = False
-    carrier: Any = None  # the execute-node side's own handle
+    carrier: Any = None  # the endpoint side's own handle
 
 
-class ExecuteNodes(Protocol):
-    """The execute-node side, as the exchange sees it."""
+class Upstream(Protocol):
+    """The endpoint side, as the exchange sees it."""
 
-    def dispatch(self, claim: Claim) -> None:
+    def dispatch(self, attempt: Attempt) -> None:
         """Sends it off; its end is told to the exchange, unless it is withdrawn before."""
 
-    def withdraw(self, claim: Claim) -> None:
+    def withdraw(self, attempt: Attempt) -> None:
         """Stops waiting for it, by closing its connection."""
 
-    def close_idle(self, node: api.ServerId) -> None:
+    def close_idle(self, endpoint: EndpointId) -> None:
         """Closes the idle connections to a node."""
 
-    def probe(self, node: api.ServerId, host: str, port: int) -> None:
+    def probe(self, endpoint: EndpointId, host: str, port: int) -> None:
         """Asks a node for its health; the result is told to the exchange."""
 
 
 class Discovery(Protocol):
-    """The source of the machine list, as the exchange sees it."""
+    """The source of the endpoint list, as the exchange sees it."""
 
     def watch(self, on: bool) -> None:
         """Starts or ends the watch on changes."""
--- a/lynxlift/adapter.py
+++ b/alderspool/simulator/adapter.py
@@ -10,9 +10,9 @@
 import sys
 from typing import BinaryIO
 
-from lynxlift import wire
-from lynxlift.interface import SettingsError
-from lynxlift.rules import Balancer
+from alderspool.balancer.balancer import Balancer
+from alderspool.balancer.settings import SettingsError
+from alderspool.simulator import wire
 
 
 def _read(stream: BinaryIO, count: int, what: str) -> bytes:
@@ -57,12 +57,12 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except (wire.WireError, SettingsError) as fault:
-        print(f"lynxlift: {fault}", file=sys.stderr)
+        print(f"alderspool: {fault}", file=sys.stderr)
         return 2
     except BrokenPipeError:
         return 0
     except Exception as fault:
-        print(f"lynxlift: decision code failed: {type(fault).__name__}: {fault}", file=sys.stderr)
+        print(f"alderspool: decision code failed: {type(fault).__name__}: {fault}", file=sys.stderr)
         return 3
     return 0
 
--- a/lynxlift/wire.py
+++ b/alderspool/simulator/wire.py
@@ -9,7 +9,33 @@
 from dataclasses import dataclass
 from struct import Struct
 
-from lynxlift import interface as api
+from alderspool.balancer.actions import (
+    Action,
+    Cancel,
+    CheckHealth,
+    CloseIdle,
+    Fail,
+    FetchList,
+    Log,
+    Reject,
+    Send,
+    SendToPeer,
+    SetTimer,
+    Watch,
+)
+from alderspool.balancer.events import (
+    ClientDisconnected,
+    EndpointEntry,
+    EndpointListUpdate,
+    HealthChecked,
+    Outcome,
+    PeerMessage,
+    Request,
+    ResponseStarted,
+    TimerFired,
+)
+from alderspool.balancer.settings import Settings, SettingsError
+from alderspool.balancer.settings_reader import read_settings
 
 
 class WireError(ValueError):
@@ -21,7 +47,7 @@
     """ENLIST: a new instance of the Balancer is wanted."""
 
     seed: int
-    settings: api.Settings
+    settings: Settings
 
 
 @dataclass(slots=True)
@@ -56,12 +82,12 @@
 def _order(body: bytes, at: int) -> tuple[int, object, int]:
     who, xid, key, grace, qos, attrs, tenant, estimate = _ORDER.unpack_from(body, at)
     hint = estimate if attrs & 1 else 0.0
-    return who, api.Request(xid, grace, qos, tenant, key, hint, bool(attrs & 2)), at + 39
+    return who, Request(xid, grace, qos, tenant, key, hint, bool(attrs & 2)), at + 39
 
 
 def _abandoned(body: bytes, at: int) -> tuple[int, object, int]:
     who, xid = _PAIR.unpack_from(body, at)
-    return who, api.ClientGone(xid), at + 8
+    return who, ClientDisconnected(xid), at + 8
 
 
 def _announce(body: bytes, at: int) -> tuple[int, object, int]:
@@ -71,14 +97,14 @@
         raise WireError(f"{count} list entries do not fit")
     entries = []
     for _ in range(count):
-        entries.append(api.ServerEntry(*_ENTRY.unpack_from(body, at)))
+        entries.append(EndpointEntry(*_ENTRY.unpack_from(body, at)))
         at += 24
-    return who, api.ServerList(mode, entries, revision), at
+    return who, EndpointListUpdate(mode, entries, revision), at
 
 
 def _headers(body: bytes, at: int) -> tuple[int, object, int]:
     who, xid, hop, backend, latency = _HEADERS.unpack_from(body, at)
-    return who, api.StreamStarted(xid, hop, backend, latency), at + 23
+    return who, ResponseStarted(xid, hop, backend, latency), at + 23
 
 
 def _killed(body: bytes, at: int) -> tuple[int, object, int]:
@@ -93,30 +119,30 @@
 
 def _memo(body: bytes, at: int) -> tuple[int, object, int]:
     who, sender, count = _MEMO.unpack_from(body, at)
-    return who, api.PeerMessage(sender, _bytes(body, at + 8, count)), at + 8 + count
+    return who, PeerMessage(sender, _bytes(body, at + 8, count)), at + 8 + count
 
 
 def _health(body: bytes, at: int) -> tuple[int, object, int]:
     who, code, backend, latency, count = _HEALTH.unpack_from(body, at)
     report = _REPORTS[count].unpack_from(body, at + 21) if count else ()
-    return who, api.Probed(backend, code, latency, report), at + 21 + 4 * count
+    return who, HealthChecked(backend, code, latency, report), at + 21 + 4 * count
 
 
 def _reminder(body: bytes, at: int) -> tuple[int, object, int]:
     who, token = _REMINDER.unpack_from(body, at)
-    return who, api.TimerDue(token), at + 12
+    return who, TimerFired(token), at + 12
 
 
 def _report_back(body: bytes, at: int) -> tuple[int, object, int]:
     who, xid, hop, backend, code, latency, finished, count = _REPORT_BACK.unpack_from(body, at)
     report = _REPORTS[count].unpack_from(body, at + 27) if count else ()
-    return who, api.Outcome(xid, hop, backend, code, latency, finished != 0, report), at + 27 + 4 * count
+    return who, Outcome(xid, hop, backend, code, latency, finished != 0, report), at + 27 + 4 * count
 
 
 def _enlist(body: bytes, at: int) -> tuple[int, object, int]:
     who, seed, count = _ENLIST.unpack_from(body, at)
     text = _bytes(body, at + 16, count).decode("utf-8", "replace")
-    return who, Started(seed, api.Settings.from_pairs(parse_options(text))), at + 16 + count
+    return who, Started(seed, read_settings(parse_options(text))), at + 16 + count
 
 
 def parse_options(text: str) -> dict[str, str]:
@@ -158,8 +184,8 @@
             who, event, after = reader(body, at + 1)
         except WireError as fault:
             raise WireError(f"record {record} at offset {at}: {fault}") from None
-        except api.SettingsError as fault:
-            raise api.SettingsError(f"record {record} at offset {at}: {fault}") from None
+        except SettingsError as fault:
+            raise SettingsError(f"record {record} at offset {at}: {fault}") from None
         except Exception:  # struct.error: the record is cut short
             raise WireError(f"record {record} at offset {at}: truncated (code {body[at]})") from None
         events.append((who, event))
@@ -181,32 +207,32 @@
 _PLAIN = Struct("<BI").pack
 
 
-def _tell(who: int, action: api.TellPeer) -> bytes:
+def _tell(who: int, action: SendToPeer) -> bytes:
     peer = _EVERY_PEER if action.peer is None else action.peer
     return _WRITE_PEER(WRITE_PEER, who, peer, len(action.data)) + action.data
 
 
-def _log(who: int, action: api.Log) -> bytes:
+def _log(who: int, action: Log) -> bytes:
     text = action.text.encode()[:_LONGEST_TEXT]
     return _EMIT(EMIT, who, len(text)) + text
 
 
 _ACTIONS: dict[type, Callable[[int, object], bytes]] = {
-    api.Send: lambda who, a: _PLACE(PLACE, who, a.id, a.server, a.timeout_ms),
-    api.Refuse: lambda who, a: _BOUNCE(BOUNCE, who, a.id, a.retry_after_ms),
-    api.Fail: lambda who, a: _FAIL(DROP_REQUEST, who, a.id),
-    api.Cancel: lambda who, a: _UNDO(UNDO_SEND, who, a.id, a.attempt),
-    api.SetTimer: lambda who, a: _DEFER(DEFER, who, a.token, a.delay_ms),
-    api.Probe: lambda who, a: _TO_SERVER(ASK_LOAD, who, a.server),
-    api.CloseIdle: lambda who, a: _TO_SERVER(CLOSE_IDLE, who, a.server),
-    api.TellPeer: _tell,
-    api.Log: _log,
-    api.Watch: lambda who, a: _WATCH(WATCH, who, 1 if a.on else 0),
-    api.FetchList: lambda who, a: _PLAIN(READ_LIST, who),
+    Send: lambda who, a: _PLACE(PLACE, who, a.id, a.endpoint, a.timeout_ms),
+    Reject: lambda who, a: _BOUNCE(BOUNCE, who, a.id, a.retry_after_ms),
+    Fail: lambda who, a: _FAIL(DROP_REQUEST, who, a.id),
+    Cancel: lambda who, a: _UNDO(UNDO_SEND, who, a.id, a.attempt),
+    SetTimer: lambda who, a: _DEFER(DEFER, who, a.token, a.delay_ms),
+    CheckHealth: lambda who, a: _TO_SERVER(ASK_LOAD, who, a.endpoint),
+    CloseIdle: lambda who, a: _TO_SERVER(CLOSE_IDLE, who, a.endpoint),
+    SendToPeer: _tell,
+    Log: _log,
+    Watch: lambda who, a: _WATCH(WATCH, who, 1 if a.on else 0),
+    FetchList: lambda who, a: _PLAIN(READ_LIST, who),
 }
 
 
-def encode_action(who: int, action: api.Action) -> bytes:
+def encode_action(who: int, action: Action) -> bytes:
     """One action record of instance `who`."""
     return _ACTIONS[type(action)](who, action)
 
--- a/alderspool/transport/__init__.py
+++ b/alderspool/transport/__init__.py
@@ -1,1 +1,1 @@
-"""Sockets: submitters' connections, execute nodes' connections, the machine list's calls."""
+"""Sockets: clients' connections, endpoints' connections, the endpoint list's calls."""
--- a/alderspool/transport/turned_away.py
+++ b/alderspool/transport/connection_rejection.py
@@ -5,15 +5,15 @@
 import asyncio
 import socket
 
-from alderspool.protocol.submitters import TURNED_AWAY
+from alderspool.protocol.downstream import CONNECTION_REJECTED
 from alderspool.transport.streams import READ_SIZE
 
-# Such connections are beyond the submitters' part of the descriptors: there are few, and for a moment.
+# Such connections are beyond the clients' part of the descriptors: there are few, and for a moment.
 MOST = 16
 PATIENCE_S = 0.1
 
 
-class TurnedAway:
+class ConnectionRejector:
     """Connections that get one refusal each and nothing else; their requests are not read."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -52,7 +52,7 @@
         if sock not in self._told:
             self._told.add(sock)
             try:
-                sock.send(TURNED_AWAY)  # a few bytes into an empty buffer: all of it or nothing
+                sock.send(CONNECTION_REJECTED)  # a few bytes into an empty buffer: all of it or nothing
                 sock.shutdown(socket.SHUT_WR)
             except OSError:
                 pass  # it has gone
--- a/alderspool/transport/budget.py
+++ b/alderspool/transport/descriptor_budget.py
@@ -6,14 +6,14 @@
 
 SPARE = 48  # listener, event loop, discovery, standard streams, and what is just being closed
 SUBMITTERS_SHARE = 0.6  # of the rest; requests hold no more than a third of the limit
-KEPT_SHARE = 0.33  # of the submitters' part: with more that have asked, an answer ends its connection
+KEPT_SHARE = 0.33  # of the clients' part: with more that have asked, an answer ends its connection
 
 
 class DescriptorBudget:
     """Counts one side's sockets. `part` keeps some for the others, so that a flood on one side leaves
     the other what it needs; at the limit something idle of the same side has to go first. Where not the
     side is at its limit but the whole, and nothing of it is idle, something idle of the other side goes:
-    a connection kept to each of hundreds of nodes must not keep submitters out."""
+    a connection kept to each of hundreds of nodes must not keep clients out."""
 
     def __init__(self, limit: int, whole: DescriptorBudget | None = None) -> None:
         self._limit, self._whole = max(limit, 8), whole
--- a/alderspool/transport/discovery.py
+++ b/alderspool/transport/discovery.py
@@ -8,12 +8,12 @@
 from math import inf
 from random import Random
 
-from alderspool.protocol import machine_list
-from alderspool.protocol.http_client import Reply
-from alderspool.protocol.machine_list import MachineListError
+from alderspool.balancer.settings import Settings
+from alderspool.protocol import endpoint_list
+from alderspool.protocol.endpoint_list import EndpointListError
+from alderspool.protocol.http_client import HttpResponse
 from alderspool.routing.exchange import Exchange
-from alderspool.transport.streams import connect, read_reply
-from lynxlift.interface import Settings
+from alderspool.transport.streams import connect, read_response
 
 TOLD_S = 6.0  # the protocol page: whatever discovery has to tell counts as told so long after
 AT_ONCE_MS = 1
@@ -45,12 +45,12 @@
 
     @classmethod
     def of(cls, settings: Settings) -> Term:
-        whole = min(TOLD_S, (settings.ask_within_ms or inf) / 1000.0)
+        whole = min(TOLD_S, (settings.list_max_age_ms or inf) / 1000.0)
         shares = (0.1, 0.05, 0.53, 0.15, 0.05, 0.2)
         return cls(*(share * whole for share in shares))
 
 
-class Asking(Enum):
+class WatchState(Enum):
     WHOLE = "whole"  # nothing of this discovery's list is held: all of it is asked for
     ANEW = "anew"  # no watch is open: what is newer than our version is asked for, at once
     WATCH = "watch"  # the last answer was followed at once: the watch goes on
@@ -63,17 +63,17 @@
         self._place, self._dial_s = place, dial_s
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
-        self._wire = machine_list.list_wire()
+        self._wire = endpoint_list.discovery_codec()
 
-    async def call(self, since: int | None = None, wait_ms: int = 0) -> Reply:
+    async def call(self, since: int | None = None, wait_ms: int = 0) -> HttpResponse:
         """The answer to one call, on the connection that stands or on a new one. Whatever fails here is the
         caller's to mend: a call that took a second dial by itself would outlast the time it was given."""
         if self._writer is None:
-            self._wire = machine_list.list_wire()
+            self._wire = endpoint_list.discovery_codec()
             async with asyncio.timeout(self._dial_s):
                 self._reader, self._writer = await connect(*self._place)
-        self._writer.write(machine_list.compose_call(self._wire, self._place[0], since, wait_ms))
-        reply = await read_reply(self._reader, self._wire)
+        self._writer.write(endpoint_list.compose_call(self._wire, self._place[0], since, wait_ms))
+        reply = await read_response(self._reader, self._wire)
         if not self._wire.reusable:
             self.drop()
         return reply
@@ -85,17 +85,17 @@
 
 
 class DiscoveryClient:
-    """The watch on the machine list. Once it is on it never ends by itself: whatever an answer holds, and
+    """The watch on the endpoint list. Once it is on it never ends by itself: whatever an answer holds, and
     whatever fails, it is asked again in time."""
 
     def __init__(
         self, place: Place, exchange: Exchange, settings: Settings, revision: int, seed: int = 0
     ) -> None:
         self._place, self._exchange, self._settings = place, exchange, settings
-        self._term, self._agent = Term.of(settings), not settings.watch_needed
+        self._term, self._agent = Term.of(settings), not settings.list_on_request
         # What an agent holds counts as told from our first moment, so of it no more is taken for known than
         # it has said to us. A discovery that is asked goes on from the list that we were given.
-        self._asking = Asking.WHOLE if self._agent else Asking.ANEW
+        self._asking = WatchState.WHOLE if self._agent else WatchState.ANEW
         self._revision = revision
         self._random = Random(seed)
         self._heard = asyncio.Event()
@@ -118,7 +118,7 @@
 
     def fetch(self) -> None:
         """The whole list is asked for, and the watch goes on from there."""
-        self._asking = Asking.WHOLE
+        self._asking = WatchState.WHOLE
         self._stop()
         self.watch(True)
 
@@ -144,13 +144,13 @@
                     continue
                 except Exception as fault:  # of any kind: an asking that ended here would never be missed
                     line.drop()
-                    if self._asking is Asking.WATCH:
-                        self._asking = Asking.ANEW
+                    if self._asking is WatchState.WATCH:
+                        self._asking = WatchState.ANEW
                         if isinstance(fault, TimeoutError):
                             continue  # fallen silent: what it missed is asked for before it counts as told
                     else:
                         failures += 1
-                        self._exchange.list_failed(str(fault)[:200] or type(fault).__name__)
+                        self._exchange.list_call_failed(str(fault)[:200] or type(fault).__name__)
                 await asyncio.sleep(self._pause_s(failures))
         finally:
             line.drop()
@@ -166,28 +166,32 @@
     async def _ask(self, line: DiscoveryConnection) -> None:
         """One call as our state demands, and what it tells."""
         term, asking, before = self._term, self._asking, self._revision
-        wait_ms = max(int(1000.0 * term.wait), 1) if asking is Asking.WATCH else AT_ONCE_MS
+        wait_ms = max(int(1000.0 * term.wait), 1) if asking is WatchState.WATCH else AT_ONCE_MS
         clock = asyncio.get_running_loop().time
         asked = clock()
-        if self._agent and asking is Asking.ANEW:
+        if self._agent and asking is WatchState.ANEW:
             reply = await self._agent_says(before)
         else:
-            async with asyncio.timeout(term.wait + term.late if asking is Asking.WATCH else term.call):
-                reply = await line.call(*(() if asking is Asking.WHOLE else (before, wait_ms)))
-        told = machine_list.read_list(reply, self._settings)
-        if asking is not Asking.WHOLE and told.revision < before:
+            async with asyncio.timeout(term.wait + term.late if asking is WatchState.WATCH else term.call):
+                reply = await line.call(*(() if asking is WatchState.WHOLE else (before, wait_ms)))
+        told = endpoint_list.read_list(reply, self._settings)
+        if asking is not WatchState.WHOLE and told.revision < before:
             # Not the one that we knew, or it has lost its memory: its versions tell us nothing by now.
-            self._asking = Asking.WHOLE
-            raise MachineListError(f"version {told.revision} after {before}")
-        self._exchange.list_told(told)
-        self._revision, self._asking = told.revision, Asking.WATCH
+            self._asking = WatchState.WHOLE
+            raise EndpointListError(f"version {told.revision} after {before}")
+        self._exchange.list_received(told)
+        self._revision, self._asking = told.revision, WatchState.WATCH
         self._heard.set()
-        if asking is Asking.WATCH and told.revision == before and clock() - asked < min(EMPTY_S, term.wait):
+        if (
+            asking is WatchState.WATCH
+            and told.revision == before
+            and clock() - asked < min(EMPTY_S, term.wait)
+        ):
             await asyncio.sleep(EMPTY_S)
 
-    async def _agent_says(self, since: int) -> Reply:
+    async def _agent_says(self, since: int) -> HttpResponse:
         """The first answer of an agent that has fallen silent, whichever of our calls it is to."""
-        calls: list[asyncio.Task[Reply]] = []  # the oldest first
+        calls: list[asyncio.Task[HttpResponse]] = []  # the oldest first
         try:
             while True:
                 calls.append(asyncio.get_running_loop().create_task(self._call_once(since)))
@@ -203,13 +207,13 @@
                 if done:
                     await asyncio.sleep(AGENT_AGAIN_S)  # refused or reset: at once, so it must not be stormed
                 elif len(calls) == 1:
-                    self._exchange.list_failed("the agent is silent")
+                    self._exchange.list_call_failed("the agent is silent")
         finally:
             for call in calls:
                 if not call.cancel() and not call.cancelled():
                     call.exception()  # looked at, so that it is not taken for one that nobody saw
 
-    async def _call_once(self, since: int) -> Reply:
+    async def _call_once(self, since: int) -> HttpResponse:
         line = DiscoveryConnection(self._place, self._term.dial)
         try:
             return await line.call(since, AT_ONCE_MS)
--- a/alderspool/transport/listener.py
+++ b/alderspool/transport/listener.py
@@ -1,4 +1,4 @@
-"""The submitters' connections: one request at a time on each, and always somebody reading."""
+"""The clients' connections: one request at a time on each, and always somebody reading."""
 
 from __future__ import annotations
 
@@ -9,49 +9,49 @@
 
 from loguru import logger
 
-from alderspool.protocol.submitters import (
+from alderspool.protocol.downstream import (
     CONTINUE,
     ENDED,
     NEED_DATA,
     PAUSED,
+    HttpServerCodec,
+    InvalidRequest,
     RawRequest,
-    Reader,
-    ReadyQuery,
-    Rejection,
-    SubmitterWire,
+    ReadinessQuery,
+    RequestReader,
     as_http,
     error_body,
     rejection_http,
 )
 from alderspool.routing.exchange import Exchange
-from alderspool.routing.messages import FinalAnswer
-from alderspool.transport.budget import KEPT_SHARE, DescriptorBudget
+from alderspool.routing.messages import FinalResponse
+from alderspool.transport.connection_rejection import ConnectionRejector
+from alderspool.transport.descriptor_budget import KEPT_SHARE, DescriptorBudget
 from alderspool.transport.streams import READ_SIZE, CountingReader, bound_reads, has_ended, is_quiet
-from alderspool.transport.turned_away import TurnedAway
 
 BACKLOG = 1024
 # What the system buffers of a connection, and we after it: hundreds that send at full speed must not
 # fill the memory before one request of each was looked at.
 INPUT_LIMIT = 16 * 1024
-# A submitter without a whole request is told so, or closed, after this long, whatever it has sent of one:
+# A client without a whole request is told so, or closed, after this long, whatever it has sent of one:
 # counted from its connecting, its last answer, or the first byte of a further request.
 PATIENCE_S = 2.1
 # Who has just connected did so in order to ask: in the ending its connection is kept this long for that.
 NEWCOMER_S = 0.3
-# Who leaves is read away for so long, and so much of it, or until its submitter ends the connection too.
+# Who leaves is read away for so long, and so much of it, or until its client ends the connection too.
 LINGER_S, LINGER_BYTES = 0.5, 1 << 18
-LOOK_S = 0.05  # whether a submitter that we do not read from is still there is looked at this often
+LOOK_S = 0.05  # whether a client that we do not read from is still there is looked at this often
 SWEEP_S = 0.2
 ACCEPT_AGAIN_S = 0.01
 
 
-class SubmitterLink:
-    """One submitter's connection. It takes requests, one at a time, until it leaves: then our sending has
+class ClientConnection:
+    """One client's connection. It takes requests, one at a time, until it leaves: then our sending has
     ended, and what still comes is read away and never taken."""
 
     def __init__(self, listener: Listener, reader: CountingReader, writer: asyncio.StreamWriter) -> None:
         self._listener, self.reader, self.writer = listener, reader, writer
-        self.wire = SubmitterWire()
+        self.wire = HttpServerCodec()
         self.request_id = 0  # in the exchange; 0: none
         self.busy = False  # a request of it is out
         self.asked = False  # it has sent a request that was taken
@@ -62,7 +62,7 @@
         self.left = LINGER_BYTES  # to be read away at most
         self.spared = False  # see break_off
 
-    def answer(self, final: FinalAnswer) -> None:
+    def answer(self, final: FinalResponse) -> None:
         self.busy, self.request_id = False, 0
         self.send(*as_http(final))
 
@@ -83,7 +83,7 @@
     def leave(self) -> None:
         """Ends our sending. Closing over bytes that nobody has read resets the connection, and an answer on
         its way goes with it; bytes may come between any look and the close. So we never close first where
-        one may be on its way: what comes is read away until the submitter ends the connection too."""
+        one may be on its way: what comes is read away until the client ends the connection too."""
         if not self.over:
             self.over, self.since = True, self._listener.loop.time()
             self._listener.forget_asked(self)
@@ -102,7 +102,7 @@
             self.writer.close()
 
     def gone(self) -> bool:
-        """Whether its submitter has left, or ended its sending, which is the same: seen also where we do not
+        """Whether its client has left, or ended its sending, which is the same: seen also where we do not
         read because an earlier request of it is out, or its end lies behind what is unread."""
         return has_ended(self.writer)
 
@@ -138,13 +138,13 @@
 
 
 class Listener:
-    def __init__(self, exchange: Exchange, reader: Reader, budget: DescriptorBudget) -> None:
+    def __init__(self, exchange: Exchange, reader: RequestReader, budget: DescriptorBudget) -> None:
         self._exchange, self._reader, self._budget = exchange, reader, budget
         self.loop = asyncio.get_running_loop()
-        self._links: dict[SubmitterLink, None] = {}  # the oldest first
+        self._links: dict[ClientConnection, None] = {}  # the oldest first
         self._socket: socket.socket | None = None
         self._welcomes: set[asyncio.Task[None]] = set()  # accepted, their links not yet made
-        self._turned_away = TurnedAway(self.loop)
+        self._connection_rejector = ConnectionRejector(self.loop)
         self._asked, self._kept = 0, budget.share(KEPT_SHARE)  # links that have asked; how many are kept
         self.draining = self._door_open = self._warned = False
         budget.on_tight(self._drop_one)
@@ -163,7 +163,7 @@
 
     @property
     def crowded(self) -> bool:
-        """Where many ask once and stay, their idle connections would keep new submitters out for as long
+        """Where many ask once and stay, their idle connections would keep new clients out for as long
         as our patience lasts. Whoever has not asked yet does not count: a flood changes nothing here."""
         return self._asked > self._kept
 
@@ -185,7 +185,7 @@
 
     def close_idle(self) -> None:
         """Ends what holds no request. What holds one stays until its answer, and so does for a moment who
-        has just come in; later there is nothing left that a submitter could send on."""
+        has just come in; later there is nothing left that a client could send on."""
         newest = self.loop.time() - NEWCOMER_S
         for link in list(self._links):
             if link.served or link.since < newest:
@@ -197,7 +197,7 @@
             if not link.busy and not link.over and not link.close_if_idle():
                 link.break_off()
 
-    def forget_asked(self, link: SubmitterLink) -> None:
+    def forget_asked(self, link: ClientConnection) -> None:
         self._asked -= link.asked
         link.asked = False
 
@@ -205,12 +205,12 @@
         """Lets go of whoever has not read its answer by now."""
         for link in list(self._links):
             link.writer.transport.abort()
-        self._turned_away.abandon()
+        self._connection_rejector.abandon()
 
     @property
     def held(self) -> int:
         """Connections that are still to be read or have bytes to leave."""
-        return len(self._links) + len(self._welcomes) + len(self._turned_away)
+        return len(self._links) + len(self._welcomes) + len(self._connection_rejector)
 
     # ---- one connection ------------------------------------------------------------------------
 
@@ -233,7 +233,7 @@
             return False
         if not self._budget.make_room():
             self._warn("descriptor budget spent: submitters are refused")
-            self._turned_away.refuse(sock)
+            self._connection_rejector.refuse(sock)
             return True
         self._budget.take()
         task = self.loop.create_task(self._welcome(sock))
@@ -263,14 +263,14 @@
     def _attend(self, reader: CountingReader, writer: asyncio.StreamWriter) -> Coroutine[Any, Any, None]:
         """Called as the connection is made: from then on its link is known, and no ending passes it over."""
         bound_reads(writer)
-        link = SubmitterLink(self, reader, writer)
+        link = ClientConnection(self, reader, writer)
         self._links[link] = None
         return self._serve(link)
 
-    async def _serve(self, link: SubmitterLink) -> None:
+    async def _serve(self, link: ClientConnection) -> None:
         try:
             await self._converse(link, link.reader)
-        except OSError:  # reset by the submitter: it went away
+        except OSError:  # reset by the client: it went away
             pass
         except Exception as fault:  # whatever it sent, it must not cost more than its own connection
             self._warn(f"a submitter's connection failed: {fault!r}")
@@ -289,7 +289,7 @@
                 self._links.pop(link, None)
                 self._budget.give_back()
 
-    async def _converse(self, link: SubmitterLink, reader: CountingReader) -> None:
+    async def _converse(self, link: ClientConnection, reader: CountingReader) -> None:
         wire = link.wire
         while True:
             step = NEED_DATA if link.over else wire.next()
@@ -321,22 +321,22 @@
             elif step is ENDED:
                 return
             else:
-                rejection = step if isinstance(step, Rejection) else self._take(link, step)
+                rejection = step if isinstance(step, InvalidRequest) else self._take(link, step)
                 if rejection is not None:
                     link.send(*rejection_http(rejection), last=True)
                     continue
                 await link.writer.drain()  # who does not read its answers must not fill the memory
 
-    def _take(self, link: SubmitterLink, raw: RawRequest) -> Rejection | None:
+    def _take(self, link: ClientConnection, raw: RawRequest) -> InvalidRequest | None:
         """Bad input ends its connection: who repeats it at once has to pay for a new one."""
         request = self._reader.read(raw)
-        if isinstance(request, Rejection):
+        if isinstance(request, InvalidRequest):
             return request
-        if isinstance(request, ReadyQuery):
+        if isinstance(request, ReadinessQuery):
             ready = self._exchange.can_serve and not self.draining
             link.send(200 if ready else 503, b"ready\n" if ready else error_body("not ready"), [])
         elif self._exchange.is_open(request.name):
-            return Rejection(400, "X-Request-Id: that of a request which is still open")
+            return InvalidRequest(400, "X-Request-Id: that of a request which is still open")
         else:
             self._asked += not link.asked
             link.asked = link.busy = True
@@ -349,7 +349,7 @@
 
     def _drop_one(self) -> bool:
         """Lets go of one that holds no request: first who leaves anyhow, then who never sent one, then who
-        sent half of one, then the longest idle, whose submitter asks again on a new connection. Its place
+        sent half of one, then the longest idle, whose client asks again on a new connection. Its place
         is needed now, so it is cut; what it was answered has long arrived."""
         # What is closed already makes no further room: it would be let go again and again.
         free = [link for link in self._links if not link.busy and not link.writer.transport.is_closing()]
--- a/alderspool/transport/streams.py
+++ b/alderspool/transport/streams.py
@@ -5,7 +5,7 @@
 import asyncio
 import select
 
-from alderspool.protocol.http_client import ClientWire, Reply
+from alderspool.protocol.http_client import HttpClientCodec, HttpResponse
 
 ENDED = getattr(select, "POLLRDHUP", 0)  # what Linux tells of an end; resets and hang-ups are always told
 READ_SIZE = 16 * 1024  # at a time; also what a stream buffers before it makes the sender wait
@@ -60,7 +60,7 @@
     return bool(poll.poll(0))
 
 
-async def read_reply(reader: asyncio.StreamReader, wire: ClientWire) -> Reply:
+async def read_response(reader: asyncio.StreamReader, wire: HttpClientCodec) -> HttpResponse:
     """The whole reply to what was sent. Raises OSError, or BrokenReplyError where it is cut short."""
     while (reply := wire.receive(await reader.read(READ_SIZE))) is None:
         pass
--- a/benchmarks/sizes.py
+++ b/benchmarks/sizes.py
@@ -18,6 +18,9 @@
 
 import click
 
+from alderspool.balancer.actions import Send
+from alderspool.balancer.events import AttemptStatus, EndpointListUpdate, Outcome, Request, UpdateMode
+
 SIZES = (24, 200, 600, 1024)
 REQUESTS = 2000
 SETTINGS = {
@@ -62,9 +65,8 @@
 
 
 def measure(size: int, repeat: int, pipe) -> None:
+    from alderspool.balancer import Balancer
     from alderspool.program.config import load
-    from lynxlift import Balancer
-    from lynxlift import interface as api
 
     before = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
     with tempfile.TemporaryDirectory() as folder:
@@ -76,16 +78,16 @@
     entries, now = [m.entry for m in config.known.machines], 1e6
     balancer = Balancer(config.settings, 1)
     balancer.start(now)
-    whole = best(lambda: balancer.handle(now, api.ServerList(api.ListMode.FULL, entries, 1)), repeat)
-    change = best(lambda: balancer.handle(now, api.ServerList(api.ListMode.DELTA, entries[:1], 2)), repeat)
+    whole = best(lambda: balancer.handle(now, EndpointListUpdate(UpdateMode.FULL, entries, 1)), repeat)
+    change = best(lambda: balancer.handle(now, EndpointListUpdate(UpdateMode.DELTA, entries[:1], 2)), repeat)
 
     def requests() -> None:
         nonlocal now
         for number in range(REQUESTS):
             now += 40.0  # 25 a second
-            for action in balancer.handle(now, api.Request(number + 1, 1000.0)):
-                if isinstance(action, api.Send):
-                    outcome = api.Outcome(action.id, 0, action.server, api.Status.OK, 20.0, True)
+            for action in balancer.handle(now, Request(number + 1, 1000.0)):
+                if isinstance(action, Send):
+                    outcome = Outcome(action.id, 0, action.endpoint, AttemptStatus.OK, 20.0, True)
                     balancer.handle(now + 20.0, outcome)
 
     request = best(requests, repeat) / REQUESTS
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,11 +4,24 @@
 
 import pytest
 
-from lynxlift import interface as api
-from lynxlift.rules import Balancer
-
-FREE = api.RequestClass("free", aim_ms=200.0, deadline_ms=400.0)
-UNSAFE = api.RequestClass("unsafe", aim_ms=200.0, deadline_ms=400.0, effect=api.Effect.SINGLE_SHOT)
+from alderspool.balancer.actions import Action, Fail, Reject, Send
+from alderspool.balancer.balancer import Balancer
+from alderspool.balancer.events import (
+    AttemptStatus,
+    EndpointEntry,
+    EndpointListUpdate,
+    Event,
+    Outcome,
+    Request,
+    TimerFired,
+    UpdateMode,
+)
+from alderspool.balancer.settings import Idempotency, RequestClass, Settings
+
+IDEMPOTENT = RequestClass("free", latency_objective_ms=200.0, deadline_ms=400.0)
+UNSAFE = RequestClass(
+    "unsafe", latency_objective_ms=200.0, deadline_ms=400.0, idempotency=Idempotency.NON_IDEMPOTENT
+)
 
 
 def sid(n: int) -> bytes:
@@ -18,40 +31,43 @@
 class Driver:
     """Feeds one Balancer and remembers what it did."""
 
-    def __init__(
-        self, classes: list[api.RequestClass] | None = None, seed: int = 1, **settings: object
-    ) -> None:
-        settings.setdefault("quantum_ms", 1.0)
-        self.cfg = api.Settings(classes=classes or [FREE], **settings)
+    def __init__(self, classes: list[RequestClass] | None = None, seed: int = 1, **settings: object) -> None:
+        settings.setdefault("clock_step_ms", 1.0)
+        self.cfg = Settings(classes=classes or [IDEMPOTENT], **settings)
         self.lb = Balancer(self.cfg, seed)
         self.now = 1_000_000.0
         self.next_id = 0
-        self.log: list[api.Action] = self.lb.start(self.now)
+        self.log: list[Action] = self.lb.start(self.now)
 
-    def tell(self, event: api.Event) -> list[api.Action]:
+    def tell(self, event: Event) -> list[Action]:
         actions = self.lb.handle(self.now, event)
         self.log += actions
         return actions
 
-    def list(self, *entries: api.ServerEntry, mode: int = api.ListMode.FULL) -> list[api.Action]:
-        return self.tell(api.ServerList(mode, [*entries]))
+    def list(self, *entries: EndpointEntry, mode: int = UpdateMode.FULL) -> list[Action]:
+        return self.tell(EndpointListUpdate(mode, [*entries]))
 
     def servers(self, n: int, **fields: object) -> None:
-        self.list(*(api.ServerEntry(sid(i), **fields) for i in range(n)))
+        self.list(*(EndpointEntry(sid(i), **fields) for i in range(n)))
 
-    def request(self, cls: int = 0, left: float | None = None, **fields: object) -> list[api.Action]:
+    def request(self, cls: int = 0, left: float | None = None, **fields: object) -> list[Action]:
         self.next_id += 1
         left = self.cfg.classes[cls].deadline_ms if left is None else left
-        return self.tell(api.Request(self.next_id, left, cls, **fields))
+        return self.tell(Request(self.next_id, left, cls, **fields))
 
     def outcome(
-        self, rid: int, attempt: int, server: bytes, status: int = api.Status.OK, finished: bool | None = None
-    ) -> list[api.Action]:
-        finished = status == api.Status.OK if finished is None else finished
-        return self.tell(api.Outcome(rid, attempt, server, status, 5.0, finished))
-
-    def timer(self, token: int) -> list[api.Action]:
-        return self.tell(api.TimerDue(token))
+        self,
+        rid: int,
+        attempt: int,
+        server: bytes,
+        status: int = AttemptStatus.OK,
+        finished: bool | None = None,
+    ) -> list[Action]:
+        finished = status == AttemptStatus.OK if finished is None else finished
+        return self.tell(Outcome(rid, attempt, server, status, 5.0, finished))
+
+    def timer(self, token: int) -> list[Action]:
+        return self.tell(TimerFired(token))
 
     def serve(self, n: int, took: float = 5.0, cls: int = 0) -> list[bytes]:
         """n requests one after the other, each served in `took` ms; the servers that got them."""
@@ -59,17 +75,17 @@
         for _ in range(n):
             (send,) = sends(self.request(cls))
             self.now += took
-            self.outcome(send.id, 0, send.server)
-            used.append(send.server)
+            self.outcome(send.id, 0, send.endpoint)
+            used.append(send.endpoint)
         return used
 
 
-def sends(actions: list[api.Action]) -> list[api.Send]:
-    return [a for a in actions if isinstance(a, api.Send)]
+def sends(actions: list[Action]) -> list[Send]:
+    return [a for a in actions if isinstance(a, Send)]
 
 
-def finals(actions: list[api.Action]) -> list[api.Action]:
-    return [a for a in actions if isinstance(a, api.Refuse | api.Fail)]
+def finals(actions: list[Action]) -> list[Action]:
+    return [a for a in actions if isinstance(a, Reject | Fail)]
 
 
 @pytest.fixture
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -103,10 +103,10 @@
 
 
 class Rig:
-    """Discovery, execute nodes and the proxy, started together."""
+    """Discovery, endpoints and the proxy, started together."""
 
-    def __init__(self, *nodes: Party, settings: dict | None = None, await_ready: bool = True) -> None:
-        self.nodes, self.settings, self.await_ready = nodes, SETTINGS | (settings or {}), await_ready
+    def __init__(self, *endpoints: Party, settings: dict | None = None, await_ready: bool = True) -> None:
+        self.endpoints, self.settings, self.await_ready = endpoints, SETTINGS | (settings or {}), await_ready
         self.discovery = Party("discovery", lambda party: self._list())
         self.news: asyncio.Queue[bytes] = asyncio.Queue()
         self.told = 0
@@ -144,7 +144,7 @@
             await asyncio.sleep(0.005)
 
     async def __aenter__(self) -> Rig:
-        for party in (self.discovery, *self.nodes):
+        for party in (self.discovery, *self.endpoints):
             await party.start()
         probe = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
         self.port = probe.sockets[0].getsockname()[1]
@@ -155,7 +155,7 @@
             "discovery": f"127.0.0.1:{self.discovery.port}",
             "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
-            "known": {"index": 1, "snapshot": True, "endpoints": [n.entry() for n in self.nodes]},
+            "known": {"index": 1, "snapshot": True, "endpoints": [n.entry() for n in self.endpoints]},
             "settings": self.settings,
         }
         self.file = Path(tempfile.mkdtemp(prefix="alderspool-")) / "config.json"
@@ -187,7 +187,7 @@
             self.proxy.kill()
             await self.proxy.wait()
         shutil.rmtree(self.file.parent)
-        for party in (self.discovery, *self.nodes):
+        for party in (self.discovery, *self.endpoints):
             party.server.close()
 
     def reload(self, text: str) -> None:
@@ -205,7 +205,7 @@
             return None
 
     async def connect(self, sent: bytes = b"") -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        """A connection of a submitter that has sent this."""
+        """A connection of a client that has sent this."""
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
         writer.write(sent)
         return reader, writer
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -9,9 +9,9 @@
 import pytest
 from rig import BARE_503, SETTINGS, Party, Rig, calls_until, real
 
+from alderspool.balancer.settings_reader import read_settings
 from alderspool.program.config import flatten
 from alderspool.transport import discovery
-from lynxlift.interface import Settings
 
 AGENT = {"discovery": "pushed"}
 TERM_S = 2.0  # within which a change counts as told, in some tests: a third of the pages', to be quick
@@ -25,7 +25,7 @@
 async def test_what_the_agent_has_is_known_before_anybody_is_let_in() -> None:
     """The list in the configuration is old: s1, ready there, drains. The agent takes a while to say so."""
     async with Rig(Party("s1"), Party("s2"), settings=AGENT, await_ready=False) as rig:
-        old, new = rig.nodes
+        old, new = rig.endpoints
         await rig.asked(1)
         await asyncio.sleep(0.5)
         assert await rig.ready() is None
@@ -61,7 +61,7 @@
         return rig.list_of(old.entry(status="draining"), index=9)
 
     rig = Rig(Party("s1"), Party("s2"), settings=settings | within(TERM_S))
-    old, new = rig.nodes
+    old, new = rig.endpoints
     rig.discovery.reply = reply
     async with rig:
         calls = await calls_until(rig.discovery, b"since=9&")
@@ -103,7 +103,7 @@
         return rig.list_of(old.entry(status="draining"), index=9)
 
     rig = Rig(Party("s1"), Party("s2"), settings=within(TERM_S))
-    old, new = rig.nodes
+    old, new = rig.endpoints
     rig.discovery.reply = reply
     async with rig:
         await calls_until(rig.discovery, b"since=9&")
@@ -127,7 +127,7 @@
         return rig.list_of(old.entry(status="draining"), new.entry(), index=40, snapshot=True)
 
     rig = Rig(Party("s1"), Party("s2"))
-    old, new = rig.nodes
+    old, new = rig.endpoints
     rig.discovery.reply = reply
     async with rig:
         calls = await calls_until(rig.discovery, b"since=2&")
@@ -150,7 +150,7 @@
 
     confused = Party("discovery", reply)
     await confused.start()
-    settings = Settings.from_pairs(flatten(SETTINGS))
+    settings = read_settings(flatten(SETTINGS))
     client = discovery.DiscoveryClient(("127.0.0.1", confused.port), Told(), settings, 40)
     client.watch(True)
     await asyncio.sleep(1.0)
@@ -166,7 +166,7 @@
     class Failing(Told):
         left, told = 3, 0
 
-        def list_told(self, told: object) -> None:
+        def list_received(self, told: object) -> None:
             self.left -= 1
             if self.left >= 0:
                 raise ZeroDivisionError("nobody expected that")
@@ -175,7 +175,7 @@
     up = Party("discovery", Rig.list_of(None, index=7))
     await up.start()
     exchange = Failing()
-    settings = Settings.from_pairs(flatten(SETTINGS | within(0.2)))
+    settings = read_settings(flatten(SETTINGS | within(0.2)))
     client = discovery.DiscoveryClient(("127.0.0.1", up.port), exchange, settings, 5)
     client.watch(True)
     while not exchange.told:
@@ -204,7 +204,7 @@
         return rig.list_of(old.entry(status="draining"), index=9)
 
     rig = Rig(Party("s1"), Party("s2"), settings=AGENT)
-    old, new = rig.nodes
+    old, new = rig.endpoints
     rig.discovery.reply = reply
     async with rig:
         await calls_until(rig.discovery, b"timeout_ms=1")
@@ -222,7 +222,7 @@
 @real
 async def test_a_list_may_come_indented() -> None:
     async with Rig(Party("s1"), Party("s2")) as rig:
-        old, new = rig.nodes
+        old, new = rig.endpoints
         await rig.asked(1)
         rig.tell_raw(rig.list_of(new.entry(), index=5, snapshot=True, indent="\t"))
         await rig.asked(2)
@@ -243,7 +243,7 @@
     moved = Party("discovery-2", reply)
     await moved.start()
     async with Rig(Party("s1"), Party("s2")) as rig:
-        old, new = rig.nodes
+        old, new = rig.endpoints
         rig.tell(old.entry(), index=99, snapshot=True)
         await rig.asked(2)
         rig.reload(json.dumps(rig.config | {"discovery": f"127.0.0.1:{moved.port}"}))
@@ -265,10 +265,10 @@
 
     failures = 0
 
-    def list_told(self, told: object) -> None:
+    def list_received(self, told: object) -> None:
         pass
 
-    def list_failed(self, why: str) -> None:
+    def list_call_failed(self, why: str) -> None:
         self.failures += 1
 
 
@@ -298,7 +298,7 @@
     failing = Party("discovery", reply)
     await failing.start()
     monkeypatch.setattr(discovery.asyncio, "sleep", record)
-    settings, clients = Settings.from_pairs(flatten(SETTINGS)), []
+    settings, clients = read_settings(flatten(SETTINGS)), []
     place = ("127.0.0.1", failing.port)
     for seed in range(40):
         first = ("127.0.0.1", 9) if what == "moved" else place
--- a/tests/test_ending.py
+++ b/tests/test_graceful_shutdown.py
@@ -33,7 +33,7 @@
     classes = [SETTINGS["classes"][1] | {"deadline_ms": longest}]
     async with Rig(Party("s1", None), settings={"classes": classes}) as rig:
         before = await rig.connect(request("pay", 60000))
-        while not rig.nodes[0].got:
+        while not rig.endpoints[0].got:
             await asyncio.sleep(0.005)
         told = await draining(rig)
         within = await rig.connect(request("pay", 60000))
@@ -73,7 +73,7 @@
 
     async with Rig(Party("s1", late)) as rig:
         reader, _ = await rig.connect(request("pay") + request("pay") + request("look"))
-        while not rig.nodes[0].got:
+        while not rig.endpoints[0].got:
             await asyncio.sleep(0.005)
         await draining(rig)
         release.set()
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -7,11 +7,27 @@
 import pytest
 from conftest import sid
 
-from lynxlift import interface as api
-from lynxlift.rules import Balancer
-
-S = api.Status
-NEVER_RAN = {int(s) for s in api.NEVER_RAN}
+from alderspool.balancer.actions import Action, Cancel, Fail, Reject, Send, SendToPeer, SetTimer
+from alderspool.balancer.balancer import Balancer
+from alderspool.balancer.events import (
+    NEVER_RAN,
+    AttemptStatus,
+    Availability,
+    ClientDisconnected,
+    EndpointEntry,
+    EndpointListUpdate,
+    Event,
+    HealthChecked,
+    Outcome,
+    PeerMessage,
+    Request,
+    TimerFired,
+    UpdateMode,
+)
+from alderspool.balancer.settings import DeduplicationScope, Idempotency, RequestClass, Settings, Tenant
+
+S = AttemptStatus
+NEVER_RAN = {int(s) for s in NEVER_RAN}
 
 
 class World:
@@ -20,38 +36,38 @@
     def __init__(self, seed: int) -> None:
         r = self.random = Random(seed)
         classes = [
-            api.RequestClass(
+            RequestClass(
                 str(i),
-                aim_ms=r.choice([50.0, 200.0, 1500.0]),
+                latency_objective_ms=r.choice([50.0, 200.0, 1500.0]),
                 deadline_ms=r.choice([1600.0, 3000.0]),
-                effect=r.choice(list(api.Effect)),
-                scope=r.choice(list(api.Scope)),
-                memory_ms=r.choice([300.0, 5000.0]),
-                late_worth=r.choice([0.0, 0.3]),
-                keep_order=r.random() < 0.5,
+                idempotency=r.choice(list(Idempotency)),
+                deduplication_scope=r.choice(list(DeduplicationScope)),
+                deduplication_window_ms=r.choice([300.0, 5000.0]),
+                late_priority_weight=r.choice([0.0, 0.3]),
+                ordered_by_key=r.random() < 0.5,
             )
             for i in range(r.randint(1, 3))
         ]
-        self.cfg = api.Settings(
+        self.cfg = Settings(
             classes=classes,
-            tenants=[api.Tenant("a", 0.5, 3.0), api.Tenant("b", 0.5, 3.0)][: r.randint(0, 2)],
-            siblings=r.randint(1, 4),
-            watch_needed=r.random() < 0.5,
+            tenants=[Tenant("a", 0.5, 3.0), Tenant("b", 0.5, 3.0)][: r.randint(0, 2)],
+            instance_count=r.randint(1, 4),
+            list_on_request=r.random() < 0.5,
             max_attempts=r.randint(1, 4),
-            may_duplicate=r.random() < 0.5,
-            can_cancel=r.random() < 0.5,
-            peers=r.random() < 0.5,
+            hedging_allowed=r.random() < 0.5,
+            cancel_allowed=r.random() < 0.5,
+            peer_messages_allowed=r.random() < 0.5,
             retry_after=r.random() < 0.5,
-            price_cross_zone=r.choice([0.0, 0.05, 0.5]),
-            quantum_ms=2.0,
-            answer_slack_ms=8.0,
-            full_may_have_run=r.random() < 0.5,
-            key_rest_ms=r.choice([0.0, 50.0]),
-            retry_window_ms=r.choice([0.0, 500.0]),
-            retry_free=r.choice([0.0, 2.0]),
-            retry_ratio=r.choice([0.0, 0.15]),
+            cross_zone_cost=r.choice([0.0, 0.05, 0.5]),
+            clock_step_ms=2.0,
+            response_slack_ms=8.0,
+            rejected_may_have_run=r.random() < 0.5,
+            key_quiesce_ms=r.choice([0.0, 50.0]),
+            retry_budget_window_ms=r.choice([0.0, 500.0]),
+            retry_budget_floor=r.choice([0.0, 2.0]),
+            retry_budget_ratio=r.choice([0.0, 0.15]),
         )
-        self.no_proof = {2} if self.cfg.full_may_have_run else set()
+        self.no_proof = {2} if self.cfg.rejected_may_have_run else set()
         self.taken: list[float] = []  # when a request came
         self.extra: list[float] = []  # when one got an attempt beyond its first
         self.keys: dict[int, list[int]] = {}  # ordered requests by key, as taken
@@ -61,56 +77,62 @@
         self.now = 1000.0
         self.lb = Balancer(self.cfg, seed)
         self.trace: list[object] = []
-        self.listed: dict[bytes, api.ServerEntry] = {}
-        self.open: dict[int, tuple[api.Request, float]] = {}  # unanswered: request, deadline
+        self.listed: dict[bytes, EndpointEntry] = {}
+        self.open: dict[int, tuple[Request, float]] = {}  # unanswered: request, deadline
         self.attempts: dict[int, list[list]] = {}  # per request: [server entry, sent, status or None, due]
         self.timers: list[tuple[float, int]] = []
         self.next_id = 0
         self.check(self.lb.start(self.now))
 
-    def check(self, actions: list[api.Action]) -> None:
+    def check(self, actions: list[Action]) -> None:
         self.trace.append(actions)
         for a in actions:
-            if isinstance(a, api.Send):
+            if isinstance(a, Send):
                 self.check_send(a)
-            elif isinstance(a, api.Refuse | api.Fail):
+            elif isinstance(a, Reject | Fail):
                 request, deadline = self.open.pop(a.id)  # KeyError: a second final answer
-                assert self.now <= deadline + self.cfg.answer_slack_ms
-                if isinstance(a, api.Refuse):
+                assert self.now <= deadline + self.cfg.response_slack_ms
+                if isinstance(a, Reject):
                     c = self.cfg.classes[request.cls]
-                    by_all = c.effect == api.Effect.GUARDED and c.scope == api.Scope.ALL
+                    by_all = (
+                        c.idempotency == Idempotency.KEYED and c.deduplication_scope == DeduplicationScope.ALL
+                    )
                     maybe = any(self.maybe_ran(t) for t in self.attempts[a.id])
-                    assert c.effect == api.Effect.FREE or by_all or not maybe
-            elif isinstance(a, api.SetTimer):
+                    assert c.idempotency == Idempotency.IDEMPOTENT or by_all or not maybe
+            elif isinstance(a, SetTimer):
                 self.timers.append((self.now + max(a.delay_ms, 1.0), a.token))
-            elif isinstance(a, api.Cancel):
-                assert self.cfg.can_cancel and a.attempt < len(self.attempts[a.id])
-            elif isinstance(a, api.TellPeer):
-                assert self.cfg.peers and len(a.data) <= 256
+            elif isinstance(a, Cancel):
+                assert self.cfg.cancel_allowed and a.attempt < len(self.attempts[a.id])
+            elif isinstance(a, SendToPeer):
+                assert self.cfg.peer_messages_allowed and len(a.data) <= 256
 
-    def check_send(self, a: api.Send) -> None:
+    def check_send(self, a: Send) -> None:
         request, deadline = self.open[a.id]  # KeyError: sent for a request that has ended
-        entry = self.listed[a.server]
-        assert entry.availability == api.Availability.READY
+        entry = self.listed[a.endpoint]
+        assert entry.availability == Availability.READY
         tries = self.attempts[a.id]
         assert len(tries) < self.cfg.max_attempts
         c = self.cfg.classes[request.cls]
-        if not self.cfg.may_duplicate:
+        if not self.cfg.hedging_allowed:
             assert all(t[2] is not None for t in tries)
         maybe = [t for t in tries if self.maybe_ran(t)]
-        if c.effect == api.Effect.SINGLE_SHOT:
+        if c.idempotency == Idempotency.NON_IDEMPOTENT:
             assert not maybe
-        if c.effect == api.Effect.GUARDED and maybe:
-            assert self.now <= maybe[0][1] + c.memory_ms
+        if c.idempotency == Idempotency.KEYED and maybe:
+            assert self.now <= maybe[0][1] + c.deduplication_window_ms
             first = maybe[0][0]
-            if c.scope != api.Scope.ALL:
-                assert entry.zone == first.zone if c.scope == api.Scope.ZONE else entry.cell == first.cell
-        if tries and self.cfg.retry_window_ms:
-            since = self.now - self.cfg.retry_window_ms
+            if c.deduplication_scope != DeduplicationScope.ALL:
+                assert (
+                    entry.zone == first.zone
+                    if c.deduplication_scope == DeduplicationScope.ZONE
+                    else entry.cell == first.cell
+                )
+        if tries and self.cfg.retry_budget_window_ms:
+            since = self.now - self.cfg.retry_budget_window_ms
             self.extra.append(self.now)
             made, taken = (sum(t > since for t in times) for times in (self.extra, self.taken))
-            assert made <= self.cfg.retry_free + self.cfg.retry_ratio * taken
-        if c.keep_order and request.key:
+            assert made <= self.cfg.retry_budget_floor + self.cfg.retry_budget_ratio * taken
+        if c.ordered_by_key and request.key:
             assert tries or self.now >= self.rest.get(request.key, 0.0)  # its own further tries need no rest
             for earlier in self.keys[request.key]:
                 if earlier == request.id:
@@ -127,7 +149,7 @@
         self.now += r.choice([0.0, 1.0, 2.0, 5.0])
         for due, token in sorted(t for t in self.timers if t[0] <= self.now):
             self.timers.remove((due, token))
-            self.tell(api.TimerDue(token))
+            self.tell(TimerFired(token))
         for rid in list(self.attempts):
             for number, t in enumerate(self.attempts[rid]):
                 if t[2] is None and t[3] <= self.now:
@@ -135,19 +157,19 @@
             if rid not in self.open and all(t[2] is not None for t in self.attempts[rid]):
                 del self.attempts[rid]
         for rid, (_, deadline) in self.open.items():
-            assert self.now <= deadline + self.cfg.answer_slack_ms, f"request {rid} lost"
+            assert self.now <= deadline + self.cfg.response_slack_ms, f"request {rid} lost"
         kind = r.random()
         if kind < 0.5:
             self.next_id += 1
             left = r.choice([-5.0, 0.0, 30.0, 400.0, 1500.0, 1500.0, 1500.0])
-            request = api.Request(self.next_id, left, r.randrange(len(self.cfg.classes)), r.randint(0, 2))
+            request = Request(self.next_id, left, r.randrange(len(self.cfg.classes)), r.randint(0, 2))
             request.cost_hint_ms = r.choice([0.0, 1.0, 500.0, float("nan")])
             self.open[request.id] = request, self.now + left
             self.attempts[request.id] = []
             self.taken.append(self.now)
             request.key = r.choice([0, 1, 1, 2])
             self.keys_of[request.id] = request.key
-            if self.cfg.classes[request.cls].keep_order:
+            if self.cfg.classes[request.cls].ordered_by_key:
                 self.keys.setdefault(request.key, []).append(request.id)
                 self.ordered.add(request.id)
             self.tell(request)
@@ -156,13 +178,13 @@
         elif kind < 0.55 and self.open:
             rid = r.choice(list(self.open))
             del self.open[rid]
-            self.tell(api.ClientGone(rid))
+            self.tell(ClientDisconnected(rid))
         elif kind < 0.6:
-            self.tell(api.PeerMessage(r.randint(0, 5), sid(r.randint(0, 9)) + bytes(r.randint(0, 2))))
+            self.tell(PeerMessage(r.randint(0, 5), sid(r.randint(0, 9)) + bytes(r.randint(0, 2))))
         elif kind < 0.62:
-            self.tell(api.Outcome(10**6, 0, sid(0), 1, 1.0, True))
+            self.tell(Outcome(10**6, 0, sid(0), 1, 1.0, True))
         elif kind < 0.63:
-            self.tell(api.Probed(sid(0), 3, 1.0))
+            self.tell(HealthChecked(sid(0), 3, 1.0))
 
     def end_attempt(self, rid: int, number: int, t: list) -> None:
         overdue = rid in self.open and self.now >= self.open[rid][1]
@@ -175,26 +197,26 @@
         if t[2] == S.OK:
             self.open.pop(rid, None)
         if rid in self.ordered and t[2] in (S.TIMEOUT, S.RESET, S.CANCELLED):
-            self.rest[self.keys_of[rid]] = self.now + self.cfg.key_rest_ms
+            self.rest[self.keys_of[rid]] = self.now + self.cfg.key_quiesce_ms
         report = self.random.choice([(), (float("nan"), float("inf"))])
         finished = rid not in self.open
-        self.tell(api.Outcome(rid, number, t[0].id, t[2], self.now - t[1], finished, report))
+        self.tell(Outcome(rid, number, t[0].id, t[2], self.now - t[1], finished, report))
 
     def change_list(self) -> None:
         r = self.random
-        mode = r.choice([api.ListMode.DELTA, api.ListMode.FULL, api.ListMode.CACHED, api.ListMode.FAILED])
+        mode = r.choice([UpdateMode.DELTA, UpdateMode.FULL, UpdateMode.CACHED, UpdateMode.FAILED])
         entries = []
-        for n in [] if mode == api.ListMode.FAILED else r.sample(range(10), r.randint(0, 8)):
-            state = r.choice([0, 0, 0, 3, 1] if mode == api.ListMode.DELTA else [0, 0, 3])
+        for n in [] if mode == UpdateMode.FAILED else r.sample(range(10), r.randint(0, 8)):
+            state = r.choice([0, 0, 0, 3, 1] if mode == UpdateMode.DELTA else [0, 0, 3])
             started = r.choice([0.0, self.now - 50.0, self.now + 1e5])
             size = r.choice([0.0, 1.0, 4.0, float("nan"), float("inf")])
-            entries.append(api.ServerEntry(sid(n), size, n // 3, started, state, n // 4))
-        if mode in (api.ListMode.FULL, api.ListMode.CACHED):
+            entries.append(EndpointEntry(sid(n), size, n // 3, started, state, n // 4))
+        if mode in (UpdateMode.FULL, UpdateMode.CACHED):
             self.listed = {}
         self.listed |= {e.id: e for e in entries}
-        self.tell(api.ServerList(mode, entries))
+        self.tell(EndpointListUpdate(mode, entries))
 
-    def tell(self, event: api.Event) -> None:
+    def tell(self, event: Event) -> None:
         self.check(self.lb.handle(self.now, event))
 
 
@@ -208,7 +230,7 @@
 @pytest.mark.parametrize("seed", range(40))
 def test_the_rules_hold_under_anything_legal(seed: int) -> None:
     world = play(seed)
-    assert sum(isinstance(a, api.Send) for actions in world.trace for a in actions) > 15
+    assert sum(isinstance(a, Send) for actions in world.trace for a in actions) > 15
     # bounded memory: nothing is kept of requests long ended
     assert set(world.lb.jobs) <= set(world.attempts) | set(world.open)
     assert len(world.lb.waiting) <= len(world.open) + 50
--- a/tests/test_lab_emulator.py
+++ b/tests/test_lab_emulator.py
@@ -14,18 +14,18 @@
 from rig import NOT_RUN, read_message, real
 
 from alderspool.lab.emulator.discovery import DiscoveryServer
+from alderspool.lab.emulator.endpoint import EndpointServer, Load
 from alderspool.lab.emulator.fleet import Fault, Fleet, FleetPlan
-from alderspool.lab.emulator.node import Load, NodeServer
 from alderspool.lab.errors import LabError
 from alderspool.lab.models.discovery import Delays, Discovery, Entry
-from alderspool.lab.models.node import NodeProfile, Rack
+from alderspool.lab.models.endpoint import EndpointProfile, Rack
 
 assert b"X-Not-Run: 1" in NOT_RUN  # the proof that the proxy goes by
 
 
-def server(rack: Rack | None = None, work: float = 20.0, **profile: object) -> NodeServer:
-    profile = NodeProfile(**profile)
-    return NodeServer("s-1", profile, {"look": Load(work, 0.01)}, np.random.default_rng(1), rack)
+def server(rack: Rack | None = None, work: float = 20.0, **profile: object) -> EndpointServer:
+    profile = EndpointProfile(**profile)
+    return EndpointServer("s-1", profile, {"look": Load(work, 0.01)}, np.random.default_rng(1), rack)
 
 
 async def connect(port: int) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
@@ -115,7 +115,7 @@
 
 @real
 async def test_a_crash_resets_what_is_open_and_a_restart_is_cold_at_the_same_port() -> None:
-    node = server(work=60_000.0, cold_ms=60_000.0)
+    node = server(work=60_000.0, slow_start_ms=60_000.0)
     await node.open()
     port = node.port
     reader, writer = await connect(port)
--- a/tests/test_lab_load.py
+++ b/tests/test_lab_load.py
@@ -29,7 +29,7 @@
 ONE = {"classes": [Class("look", 1.0, 4000.0)], "tenants": [Tenant("a", 1.0)]}
 
 
-class Server:
+class EndpointState:
     """Answers what `reply` gives for (number of the request, its head); stalls as told. In its own thread."""
 
     def __init__(self, reply=lambda number, head: OK, stall: tuple[float, float] = (0.0, 0.0)) -> None:
@@ -39,7 +39,7 @@
         self.loop = asyncio.new_event_loop()
         self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
 
-    def __enter__(self) -> Server:
+    def __enter__(self) -> EndpointState:
         self.thread.start()
         start = asyncio.start_server(self._serve, "127.0.0.1", 0, backlog=1000)
         self.server = asyncio.run_coroutine_threadsafe(start, self.loop).result()
@@ -192,7 +192,7 @@
     """Of 110 requests the last 100 are planned within the stall, whose end the server knows: number i waits
     until then from i / 50 s on. So the percentiles are those of numbers 65, 21, 11 and 10."""
     for _ in range(3):  # a run that calls itself invalid says nothing; so busy a machine is rare
-        with Server(stall=STALL) as server:
+        with EndpointState(stall=STALL) as server:
             result = workers.run(server.url, lay_out(STALLED), 2)
         if result.valid:
             break
@@ -216,7 +216,7 @@
         writer.close()
         return sorted(took)
 
-    with Server(stall=STALL) as server:
+    with EndpointState(stall=STALL) as server:
         took = asyncio.run(closed_loop(int(server.url.rpartition(":")[2])))
     assert took[-1] > 1.9 and took[int(0.9 * len(took)) - 1] < 0.1  # 1.77 s by hand
 
@@ -232,7 +232,7 @@
     }
     classes = [Class(path[1:].decode(), 1.0, 200.0) for path in answers]
     traffic = Traffic(rate=200.0, seconds=0.3, classes=classes, tenants=[Tenant("a", 1.0)])
-    with Server(lambda number, head: answers[b"/" + head.split(b"/")[1]]) as server:
+    with EndpointState(lambda number, head: answers[b"/" + head.split(b"/")[1]]) as server:
         result = workers.run(server.url, lay_out(traffic), 1)
     for cls, _, outcome in result.latency:
         assert outcome == {"garbage": "broken"}.get(cls, cls)
@@ -240,14 +240,14 @@
 
 
 def test_nobody_listening_is_unconnected() -> None:
-    with Server() as server:
+    with EndpointState() as server:
         url = server.url
     result = workers.run(url, lay_out(Traffic(rate=50.0, seconds=0.2, **ONE)), 1)
     assert {outcome for _, _, outcome in result.latency} == {"unconnected"}
 
 
 def test_requests_say_what_the_protocol_asks_for() -> None:
-    with Server() as server:
+    with EndpointState() as server:
         workers.run(server.url, lay_out(Traffic(rate=300.0, seconds=0.3)), 1)
     ids = Counter()
     for head in server.heads:
@@ -268,7 +268,7 @@
 
 def test_a_generator_that_cannot_keep_up_says_so() -> None:
     plan = lay_out(Traffic(rate=1e6, seconds=0.002, **ONE))
-    with Server() as server:
+    with EndpointState() as server:
         result = workers.run(server.url, plan, 1)
         assert not result.valid and result.lateness.get_value_at_percentile(99.0) > 5000
         args = ["load", server.url, "--rate", "1000000", "--seconds", "0.002", "--workers", "1"]
@@ -284,7 +284,7 @@
             killed.append(workers.mp.active_children()[0].pid)
             os.kill(killed[0], signal.SIGKILL)
 
-    with Server() as server, pytest.raises(RunError, match="died with status -9"):
+    with EndpointState() as server, pytest.raises(RunError, match="died with status -9"):
         workers.run(server.url, lay_out(Traffic(rate=50.0, seconds=30.0, **ONE)), 3, kill_one)
     assert not workers.mp.active_children()
 
@@ -294,7 +294,7 @@
 
     from alderspool.lab.load.results import histogram
 
-    with Server() as server:
+    with EndpointState() as server:
         command = [sys.executable, "-m", "alderspool", "lab", "load", server.url, "--json"]
         command += ["--rate", "200", "--seconds", "0.5", "--out", str(tmp_path / "out")]
         done = subprocess.run(command, capture_output=True, text=True, timeout=30)
--- a/tests/test_lab_models.py
+++ b/tests/test_lab_models.py
@@ -7,21 +7,21 @@
 import numpy as np
 import pytest
 
+from alderspool.lab.models.client import ClientModel, Habits
 from alderspool.lab.models.discovery import Delays, Discovery, Entry, started
+from alderspool.lab.models.endpoint import EndpointModel, EndpointProfile, Rack, Verdict, Work
 from alderspool.lab.models.front import Front
-from alderspool.lab.models.node import ExecuteNode, NodeProfile, Rack, Verdict, Work
-from alderspool.lab.models.submitter import Habits, Submitter
 
 
 def stream(seed: int = 1) -> np.random.Generator:
     return np.random.default_rng(seed)
 
 
-def node(rack: Rack | None = None, **profile: object) -> ExecuteNode:
-    return ExecuteNode(NodeProfile(**profile), stream(), rack)
+def node(rack: Rack | None = None, **profile: object) -> EndpointModel:
+    return EndpointModel(EndpointProfile(**profile), stream(), rack)
 
 
-def play(n: ExecuteNode, *jobs: tuple[float, float], until: float = 10_000.0) -> dict[int, float]:
+def play(n: EndpointModel, *jobs: tuple[float, float], until: float = 10_000.0) -> dict[int, float]:
     """Offers (moment, work) in turn; when each ended."""
     ended: dict[int, float] = {}
     for id, (at, work) in enumerate(jobs):
@@ -49,7 +49,7 @@
 
 
 def test_a_cold_node_gains_evenly() -> None:
-    n = node(cold_from=0.2, cold_ms=1000.0)
+    n = node(initial_capacity_share=0.2, slow_start_ms=1000.0)
     n.crash()
     n.restart(5000.0)
     assert [n.warmth(5000.0 + at) for at in (0.0, 500.0, 1000.0, 9000.0)] == pytest.approx(
@@ -63,7 +63,13 @@
 
 @pytest.mark.parametrize(("work", "up"), [(350.0, True), (450.0, False)])
 def test_a_cold_node_tips_over_beyond_the_multiple_of_what_it_can_do(work: float, up: bool) -> None:
-    n = node(cold_from=0.5, cold_ms=1e9, tip_factor=4.0, tip_after_ms=100.0, queue=99)  # 2 x 0.5 x 100 x 4
+    n = node(
+        initial_capacity_share=0.5,
+        slow_start_ms=1e9,
+        cold_overload_factor=4.0,
+        cold_overload_window_ms=100.0,
+        queue=99,
+    )  # 2 x 0.5 x 100 x 4
     n.restart(0.0)
     for id in range(10):
         n.offer(0.0, Work(id, work / 10.0))
@@ -72,7 +78,7 @@
 
 
 def test_a_warm_node_does_not_tip() -> None:
-    n = node(tip_factor=1.0, tip_after_ms=100.0, queue=99)
+    n = node(cold_overload_factor=1.0, cold_overload_window_ms=100.0, queue=99)
     for id in range(50):
         n.offer(0.0, Work(id, 100.0))
     assert n.up
@@ -185,7 +191,7 @@
 
 def test_the_same_seed_gives_the_same_story() -> None:
     def story(seed: int) -> list[bool]:
-        n = ExecuteNode(NodeProfile(error_rate=0.3, queue=500), stream(seed))
+        n = EndpointModel(EndpointProfile(error_rate=0.3, queue=500), stream(seed))
         for id in range(300):
             n.offer(0.0, Work(id, 1.0))
         return [e.error for e in n.advance(1000.0)]
@@ -193,7 +199,7 @@
     assert story(4) == story(4) != story(5)
 
 
-# ---- discovery, front, submitters ----------------------------------------------------------------
+# ---- discovery, front, clients ----------------------------------------------------------------
 
 
 def test_news_is_late_by_its_kind_and_a_watch_tells_what_changed_since() -> None:
@@ -250,14 +256,14 @@
         (Habits(retries=1, backoff_ms=50.0, honours_retry_after=1.0), [100.0], [400.0]),
     ],
 )
-def test_a_submitter_asks_again_as_its_habits_say(habits: Habits, after: list, again: list) -> None:
-    s = Submitter(habits, 1000.0, 0.0, stream())
+def test_a_client_asks_again_as_its_habits_say(habits: Habits, after: list, again: list) -> None:
+    s = ClientModel(habits, 1000.0, 0.0, stream())
     for at, expected in zip(after, again, strict=True):
         s.try_once(at - 50.0)
         assert s.refused(at, retry_after_ms=300.0) == expected
 
 
 def test_a_try_waits_its_share_of_the_deadline_or_what_is_left_of_it() -> None:
-    s = Submitter(Habits(try_share=0.7), 1000.0, 0.0, stream())
+    s = ClientModel(Habits(try_share=0.7), 1000.0, 0.0, stream())
     assert s.try_once(0.0) == 700.0 and s.try_once(800.0) == pytest.approx(200.0)
-    assert Submitter(Habits(impatient=1.0), 1000.0, 0.0, stream()).try_once(0.0) == 100.0
+    assert ClientModel(Habits(impatient=1.0), 1000.0, 0.0, stream()).try_once(0.0) == 100.0
--- a/tests/test_crowd.py
+++ b/tests/test_large_fleet.py
@@ -8,23 +8,38 @@
 from random import Random
 
 import pytest
-from conftest import FREE, Driver, sends
+from conftest import IDEMPOTENT, Driver, sends
 from fleet_model import Fleet
 
-from lynxlift import interface as api
+from alderspool.balancer.actions import Send, SetTimer
+from alderspool.balancer.events import (
+    AttemptStatus,
+    Availability,
+    EndpointEntry,
+    EndpointListUpdate,
+    Event,
+    Outcome,
+    Request,
+    TimerFired,
+    UpdateMode,
+)
+from alderspool.balancer.settings import Tenant
 
 PROXIES = 40
 
 
-def nodes(*sizes: int) -> list[api.ServerEntry]:
-    """So many ready execute nodes in each zone, with ids that tell nothing."""
+def nodes(*sizes: int) -> list[EndpointEntry]:
+    """So many ready endpoints in each zone, with ids that tell nothing."""
     r = Random(1)
-    return [api.ServerEntry(r.randbytes(6), zone=zone) for zone, n in enumerate(sizes) for _ in range(n)]
+    return [EndpointEntry(r.randbytes(6), zone=zone) for zone, n in enumerate(sizes) for _ in range(n)]
 
 
-def crowd(entries: list[api.ServerEntry], **settings: object) -> list[Driver]:
+def crowd(entries: list[EndpointEntry], **settings: object) -> list[Driver]:
     """All proxies, half of them in either zone."""
-    drivers = [Driver(number=k, siblings=PROXIES, zone=k % 2, seed=k, **settings) for k in range(PROXIES)]
+    drivers = [
+        Driver(instance_number=k, instance_count=PROXIES, zone=k % 2, seed=k, **settings)
+        for k in range(PROXIES)
+    ]
     for d in drivers:
         d.list(*entries)
     return drivers
@@ -40,8 +55,8 @@
     }
     drivers = crowd(entries)
     for d in drivers:
-        drained = (api.ServerEntry(i, availability=api.Availability.DRAINING) for i in left)
-        d.list(*drained, mode=api.ListMode.DELTA)
+        drained = (EndpointEntry(i, availability=Availability.DRAINING) for i in left)
+        d.list(*drained, mode=UpdateMode.DELTA)
     used = Counter(s.id for d in drivers for s in d.lb.ready)
     assert set(used) == {e.id for e in entries} - left
     even = sum(used.values()) / len(used)
@@ -58,7 +73,7 @@
     """More zones than anybody has named, many more proxies than nodes, many more nodes than proxies."""
     entries, used = nodes(*sizes), Counter()
     for k in range(proxies):
-        d = Driver(number=k, siblings=proxies, seed=k)
+        d = Driver(instance_number=k, instance_count=proxies, seed=k)
         d.list(*entries)
         used.update(s.id for s in d.lb.ready)
     assert len(used) == len(entries)
@@ -79,7 +94,7 @@
 
 def test_cold_nodes_are_used_as_they_warm_up() -> None:
     """With half of the fleet back cold the warm half bore nearly all, choked, and stayed so."""
-    fleet = Fleet(1, 0.7, nodes=20, proxies=20, overload_factor=4.0)
+    fleet = Fleet(1, 0.7, nodes=20, proxies=20, cold_overload_factor=4.0)
     fleet.run(4)
     back, others = fleet.nodes[::2], fleet.nodes[1::2]
     for node in back:
@@ -97,11 +112,11 @@
 def test_a_cold_node_gets_from_all_proxies_together_less_than_would_push_it_over() -> None:
     """Whatever is asked, and though no limit on what is out holds anyone back: the budget alone."""
     entries = nodes(30, 30)
-    drivers = crowd(entries, overload_factor=4.0, cold_from=0.3, cold_ms=8900.0)
+    drivers = crowd(entries, cold_overload_factor=4.0, initial_capacity_share=0.3, slow_start_ms=8900.0)
     served, node, sent = 0, entries[0].id, 0
     for d in drivers:
         served += len(d.serve(200, took=50.0))
-        d.list(api.ServerEntry(node, started_at_ms=d.now), mode=api.ListMode.DELTA)
+        d.list(EndpointEntry(node, started_at_ms=d.now), mode=UpdateMode.DELTA)
         end = d.now + 1000.0
         while d.now < end:  # ten times as much, each answered at once
             sent += d.serve(1)[0] == node
@@ -117,24 +132,24 @@
     assert total > 1000 and copies < 0.02 * total  # was 0.09
 
 
-def lose(d: Driver, bad: set[bytes], status: api.Status, n: int, kinds: int = 1) -> int:
+def lose(d: Driver, bad: set[bytes], status: AttemptStatus, n: int, kinds: int = 1) -> int:
     """n requests, 20 a second but for those that a bad node loses at once; how many it lost."""
-    r, lost = Random(d.cfg.number), 0
+    r, lost = Random(d.cfg.instance_number), 0
     for _ in range(n):
         d.now += 10.0
         for send in sends(d.request(r.randrange(kinds), tenant=r.randrange(kinds))):
-            lost += (fails := send.server in bad)
+            lost += (fails := send.endpoint in bad)
             d.now += 1.0 if fails else 40.0
-            d.outcome(send.id, 0, send.server, status if fails else api.Status.OK, True)
+            d.outcome(send.id, 0, send.endpoint, status if fails else AttemptStatus.OK, True)
     return lost
 
 
 def test_a_failing_node_costs_few_requests_although_each_proxy_sees_little_of_it() -> None:
     """A first wait of one usual latency was over before the node's next turn: it was no wait at all."""
     lost = 0
-    for d in crowd(nodes(30, 30), classes=[FREE] * 3, tenants=[api.Tenant(name) for name in "xyz"]):
-        lose(d, set(), api.Status.OK, 100, kinds=3)
-        lost += lose(d, {d.lb.ready[0].id}, api.Status.ERROR, 100, kinds=3)
+    for d in crowd(nodes(30, 30), classes=[IDEMPOTENT] * 3, tenants=[Tenant(name) for name in "xyz"]):
+        lose(d, set(), AttemptStatus.OK, 100, kinds=3)
+        lost += lose(d, {d.lb.ready[0].id}, AttemptStatus.ERROR, 100, kinds=3)
     assert lost / PROXIES < 3.5  # 3.95 without
 
 
@@ -142,24 +157,26 @@
     """Dead nodes that the list still names do nothing: counted as warm, they halved the budget."""
     budgets = []
     for dead in (0, 4):
-        d = crowd(nodes(30, 30), overload_factor=4.0, cold_from=0.3, cold_ms=8900.0)[0]
-        lose(d, {s.id for s in d.lb.ready[:dead]}, api.Status.CONNECT_FAILED, 400)
+        d = crowd(nodes(30, 30), cold_overload_factor=4.0, initial_capacity_share=0.3, slow_start_ms=8900.0)[
+            0
+        ]
+        lose(d, {s.id for s in d.lb.ready[:dead]}, AttemptStatus.CONNECT_FAILED, 400)
         cold = d.lb.ready[-1]
-        d.list(api.ServerEntry(cold.id, zone=cold.zone, started_at_ms=d.now), mode=api.ListMode.DELTA)
+        d.list(EndpointEntry(cold.id, zone=cold.zone, started_at_ms=d.now), mode=UpdateMode.DELTA)
         budgets.append(cold.rate / d.lb.arrived)  # nine answer in either case
     assert budgets[1] > 0.9 * budgets[0] > 0.0
 
 
 def at_rate(d: Driver, each_ms: float, seconds: float, took: float) -> Counter[bytes]:
     """One request every so many ms, each served after `took` ms; how many each node got."""
-    got, out = Counter[bytes](), list[tuple[float, api.Send]]()
+    got, out = Counter[bytes](), list[tuple[float, Send]]()
     end = d.now + 1000.0 * seconds
     while d.now < end:
         while out and out[0][0] <= d.now:
             send = out.pop(0)[1]
-            d.tell(api.Outcome(send.id, 0, send.server, api.Status.OK, took, True))
+            d.tell(Outcome(send.id, 0, send.endpoint, AttemptStatus.OK, took, True))
         for send in sends(d.request()):
-            got[send.server] += 1
+            got[send.endpoint] += 1
             out.append((d.now + took, send))
         d.now += each_ms
     return got
@@ -168,7 +185,7 @@
 @pytest.mark.parametrize("times", [1, 3, 6])
 def test_a_proxy_with_several_times_its_part_of_the_traffic_uses_as_many_more_nodes(times: int) -> None:
     """Six nodes took all of a proxy with six times the mean: on a calm day a dozen proxies refused half."""
-    quota = [api.Tenant("a", 1.0, 8.0 * PROXIES)]  # a mean proxy has eight requests a second
+    quota = [Tenant("a", 1.0, 8.0 * PROXIES)]  # a mean proxy has eight requests a second
     d = crowd(nodes(60, 60), tenants=quota)[0]
     at_rate(d, 125.0 / times, 12.0, took=60.0)
     last = at_rate(d, 125.0 / times, 6.0, took=60.0)
@@ -187,30 +204,30 @@
 COLD_MS, TIP_MS, TOLD_MS = 8900.0, 1000.0, 10_000.0
 
 
-def sent_by(d: Driver, r: Random, each_ms: float, news: list[api.ServerEntry]) -> list[tuple[bytes, float]]:
+def sent_by(d: Driver, r: Random, each_ms: float, news: list[EndpointEntry]) -> list[tuple[bytes, float]]:
     """What one proxy sends where, and when. It is told the news up to 1.5 s late."""
     begun, sent, number = d.now, [], 0
-    todo: list[tuple[float, int, api.Event]] = []
+    todo: list[tuple[float, int, Event]] = []
 
-    def plan(after: float, event: api.Event) -> None:
+    def plan(after: float, event: Event) -> None:
         nonlocal number
         number += 1
         heappush(todo, (d.now + after, number, event))
 
-    plan(TOLD_MS + r.uniform(0.0, 1500.0), api.ServerList(api.ListMode.DELTA, news, 2))
-    plan(r.expovariate(1.0 / each_ms), api.Request(1, 2000.0))
+    plan(TOLD_MS + r.uniform(0.0, 1500.0), EndpointListUpdate(UpdateMode.DELTA, news, 2))
+    plan(r.expovariate(1.0 / each_ms), Request(1, 2000.0))
     while todo[0][0] < begun + TOLD_MS + COLD_MS:
         d.now, _, event = heappop(todo)
-        if type(event) is api.Request:
-            plan(r.expovariate(1.0 / each_ms), api.Request(event.id + 1, 2000.0))
+        if type(event) is Request:
+            plan(r.expovariate(1.0 / each_ms), Request(event.id + 1, 2000.0))
         for action in d.tell(event):
-            if type(action) is api.Send:
-                sent.append((action.server, d.now))
+            if type(action) is Send:
+                sent.append((action.endpoint, d.now))
                 plan(
-                    r.uniform(30.0, 90.0), api.Outcome(action.id, 0, action.server, api.Status.OK, 0.0, True)
+                    r.uniform(30.0, 90.0), Outcome(action.id, 0, action.endpoint, AttemptStatus.OK, 0.0, True)
                 )
-            elif type(action) is api.SetTimer:
-                plan(action.delay_ms, api.TimerDue(action.token))
+            elif type(action) is SetTimer:
+                plan(action.delay_ms, TimerFired(action.token))
     return sent
 
 
@@ -227,14 +244,15 @@
     old, new = nodes(warm // 2, warm // 2), nodes(cold // 2, cold // 2)
     for entry in new:
         entry.id, entry.started_at_ms = b"new" + entry.id, 1_000_000.0 + TOLD_MS
-    left = [replace(e, availability=api.Availability.GONE) for n, e in enumerate(old) if n % 4]
+    left = [replace(e, availability=Availability.GONE) for n, e in enumerate(old) if n % 4]
     shares = [r.choice((0.5, 0.7, 1.0, 1.0, 1.0, 4.0)) for _ in range(proxies)]
     asked = 0.8 * carry * warm  # a second, by all
-    settings = {"overload_factor": factor, "cold_from": least, "cold_ms": COLD_MS, "tip_after_ms": TIP_MS}
-    settings |= {"siblings": proxies, "tenants": [api.Tenant("x", 1.0, asked)]}
+    settings = {"cold_overload_factor": factor, "initial_capacity_share": least, "slow_start_ms": COLD_MS}
+    settings |= {"cold_overload_window_ms": TIP_MS}
+    settings |= {"instance_count": proxies, "tenants": [Tenant("x", 1.0, asked)]}
     got: dict[bytes, list[float]] = {entry.id: [] for entry in new}
     for k, share in enumerate(shares):
-        d = Driver(number=k, zone=k % 2, seed=k, **settings)
+        d = Driver(instance_number=k, zone=k % 2, seed=k, **settings)
         d.list(*old)
         for server, at in sent_by(d, r, 1000.0 * sum(shares) / share / asked, [*left, *new]):
             if server in got:
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -12,7 +12,7 @@
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
 
-from lynxlift import interface as api
+from alderspool.balancer.events import Availability
 
 CALM, BACK, MEASURED = 4, 5, 5  # seconds: before the trouble; for the way back; in which service is measured
 SERVED = 0.9  # of what the fleet can do, in time, once it is back
@@ -47,11 +47,11 @@
 def drained(fleet: Fleet, part: float, seconds: float) -> None:
     struck = fleet.nodes[: max(1, int(part * 0.5 * len(fleet.nodes)))]
     for node in struck:
-        node.state = api.Availability.DRAINING
+        node.state = Availability.DRAINING
     fleet.announce()
     fleet.run(seconds)
     for node in struck:
-        node.state = api.Availability.READY
+        node.state = Availability.READY
     fleet.announce()
 
 
