--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -1,4 +1,4 @@
-"""Tables of cases for the parsers: submitters' requests, execute nodes' replies, the machine list."""
+"""Tables of cases for the parsers: clients' requests, endpoints' replies, the endpoint list."""
 
 from __future__ import annotations
 
@@ -7,31 +7,32 @@
 import pytest
 from rig import NOT_RUN, OK, SETTINGS, request
 
+from alderspool.balancer.events import AttemptStatus, Availability
+from alderspool.balancer.settings_reader import read_settings
 from alderspool.program.config import flatten
-from alderspool.protocol import claims, machine_list
-from alderspool.protocol.http_client import BrokenReplyError, Reply
-from alderspool.protocol.machine_list import MachineListError
-from alderspool.protocol.second_answers import SOON_S, SURE, SecondAnswers, fingerprint
-from alderspool.protocol.submitters import (
+from alderspool.protocol import endpoint_list, upstream
+from alderspool.protocol.downstream import (
     CONTINUE,
     NEED_DATA,
     PAUSED,
+    HttpServerCodec,
+    InvalidRequest,
     RawRequest,
-    Reader,
-    ReadyQuery,
-    Rejection,
-    SubmitterWire,
+    ReadinessQuery,
+    RequestReader,
     as_http,
 )
-from alderspool.routing.messages import Failed, RequeueNotice, Served, Submission
-from lynxlift.interface import Availability, Settings, Status
+from alderspool.protocol.duplicate_responses import SOON_S, SURE, DuplicateResponseDetector, fingerprint
+from alderspool.protocol.endpoint_list import EndpointListError
+from alderspool.protocol.http_client import BrokenResponseError, HttpResponse
+from alderspool.routing.messages import ClientRequest, Failed, Rejected, Served
 
-CFG = Settings.from_pairs(flatten(SETTINGS))
-READER = Reader(CFG)
+CFG = read_settings(flatten(SETTINGS))
+READER = RequestReader(CFG)
 
 
 def take(data: bytes) -> object:
-    wire = SubmitterWire()
+    wire = HttpServerCodec()
     wire.receive(data)
     step = wire.next()
     return READER.read(step) if isinstance(step, RawRequest) else step
@@ -39,7 +40,7 @@
 
 def test_a_good_request_is_read_whole() -> None:
     got = take(request("put", 480, b"body", X_Retry="1", X_Cost_Hint="12.5"))
-    assert isinstance(got, Submission)
+    assert isinstance(got, ClientRequest)
     assert (got.cls, got.tenant, got.time_left_ms, got.is_repeat) == (2, 0, 480.0, True)
     assert got.cost_hint_ms == 12.5
     assert (got.payload.method, got.payload.target) == (b"POST", b"/put/7f3a?x=1")
@@ -52,11 +53,11 @@
     body = b"".join(b"1;x=y\r\n%c\r\n" % c for c in b"four") + b"0\r\nX-Class: look\r\nX-Evil: 1\r\n\r\n"
     sent = request("pay", Content_Length=None, Transfer_Encoding="chunked", body=body)
     got = take(sent)
-    assert isinstance(got, Submission) and got.payload.body == b"four"
+    assert isinstance(got, ClientRequest) and got.payload.body == b"four"
     assert b"x-evil" not in dict(got.payload.headers)
-    wire = SubmitterWire()
+    wire = HttpServerCodec()
     wire.receive(request("look", Connection="Upgrade, HTTP2-Settings", Upgrade="h2c") + request("pay"))
-    assert isinstance(READER.read(wire.next()), Submission)
+    assert isinstance(READER.read(wire.next()), ClientRequest)
     wire.compose(200, b"", [], close=False)
     assert wire.next().method == b"POST"
 
@@ -116,7 +117,7 @@
 @pytest.mark.parametrize(("data", "status"), BAD)
 def test_bad_requests_are_rejected(data: bytes, status: int) -> None:
     got = take(data)
-    assert isinstance(got, Rejection) and got.status == status
+    assert isinstance(got, InvalidRequest) and got.status == status
 
 
 @pytest.mark.parametrize(
@@ -128,15 +129,15 @@
     ],
 )
 def test_unfinished_requests_wait(data: bytes, step: str) -> None:
-    wire = SubmitterWire()
+    wire = HttpServerCodec()
     if data:
         wire.receive(data)
     assert wire.next() is step
 
 
 def test_ready_is_asked_for_and_a_second_request_waits_its_turn() -> None:
-    assert isinstance(take(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"), ReadyQuery)
-    wire = SubmitterWire()
+    assert isinstance(take(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"), ReadinessQuery)
+    wire = HttpServerCodec()
     wire.receive(request() + request("pay"))
     assert wire.next().method == b"GET" and wire.next() is PAUSED
     assert wire.compose(200, b"", [], close=False)[1] is False
@@ -146,9 +147,9 @@
 
 
 ANSWERS = [
-    (Served(claims.ExecuteNodeAnswer(b"x", b"text/plain")), 200, (b"Content-Type", b"text/plain")),
-    (RequeueNotice(1500.0), 503, (b"Retry-After", b"1.500")),
-    (RequeueNotice(), 503, None),
+    (Served(upstream.UpstreamResponse(b"x", b"text/plain")), 200, (b"Content-Type", b"text/plain")),
+    (Rejected(1500.0), 503, (b"Retry-After", b"1.500")),
+    (Rejected(), 503, None),
     (Failed(), 502, None),
     (Failed(timed_out=True), 504, None),
 ]
@@ -162,23 +163,23 @@
 
 
 REPLIES = [
-    (OK, Status.OK),
+    (OK, AttemptStatus.OK),
     (
         OK.replace(
             b"Content-Length: 4\r\n\r\ndone", b"Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n"
         ),
-        Status.OK,
+        AttemptStatus.OK,
     ),
-    (b"HTTP/1.1 100 Continue\r\n\r\n" + OK, Status.OK),
-    (NOT_RUN, Status.REJECTED),
-    (NOT_RUN.replace(b"503", b"504"), Status.REJECTED),
-    (NOT_RUN.replace(b"503", b"500"), Status.ERROR),
-    (NOT_RUN.replace(b": 1", b": 0"), Status.ERROR),
-    (OK.replace(b"200", b"204"), Status.ERROR),
-    (OK.replace(b"200", b"302"), Status.ERROR),
-    (OK.replace(b"200", b"500"), Status.ERROR),
-    (OK.replace(b"Content-Length: 4\r\n", b""), Status.OK),
-    (NOT_RUN.replace(b"Content-Length: 0\r\n", b""), Status.REJECTED),
+    (b"HTTP/1.1 100 Continue\r\n\r\n" + OK, AttemptStatus.OK),
+    (NOT_RUN, AttemptStatus.REJECTED),
+    (NOT_RUN.replace(b"503", b"504"), AttemptStatus.REJECTED),
+    (NOT_RUN.replace(b"503", b"500"), AttemptStatus.ERROR),
+    (NOT_RUN.replace(b": 1", b": 0"), AttemptStatus.ERROR),
+    (OK.replace(b"200", b"204"), AttemptStatus.ERROR),
+    (OK.replace(b"200", b"302"), AttemptStatus.ERROR),
+    (OK.replace(b"200", b"500"), AttemptStatus.ERROR),
+    (OK.replace(b"Content-Length: 4\r\n", b""), AttemptStatus.OK),
+    (NOT_RUN.replace(b"Content-Length: 0\r\n", b""), AttemptStatus.REJECTED),
     (OK.replace(b"Content-Length: 4\r\n", b"") + b"x" * 70000, None),
     (
         OK.replace(b"Content-Length: 4", b"Transfer-Encoding: chunked").replace(b"done", b"4\r\ndone\r\n"),
@@ -192,21 +193,21 @@
 
 
 @pytest.mark.parametrize(("data", "status"), REPLIES)
-def test_what_a_nodes_reply_proves(data: bytes, status: Status | None) -> None:
+def test_what_a_nodes_reply_proves(data: bytes, status: AttemptStatus | None) -> None:
     """None: broken off, so that nothing of it is passed on."""
     for step in (len(data) or 1, 7):  # whole, and in pieces
-        wire = claims.claim_wire()
-        claims.compose_claim(wire, take(request("pay")).payload, 99.9)
+        wire = upstream.upstream_codec()
+        upstream.compose_attempt(wire, take(request("pay")).payload, 99.9)
         reply, parts = None, [data[i : i + step] for i in range(0, len(data), step)]
         try:
             for part in [*parts, b""]:
                 reply = reply or wire.receive(part)
-        except BrokenReplyError:
+        except BrokenResponseError:
             assert status is None
         else:
-            got, answer = claims.read_outcome(reply)
+            got, answer = upstream.read_outcome(reply)
             assert got == status
-            assert (answer.body if answer else None) == (b"done" if got == Status.OK else None)
+            assert (answer.body if answer else None) == (b"done" if got == AttemptStatus.OK else None)
 
 
 @pytest.mark.parametrize(
@@ -224,22 +225,22 @@
     ],
 )
 def test_a_spoilt_reply_is_broken_off_by_its_head(head: bytes) -> None:
-    wire = claims.claim_wire()
-    claims.compose_claim(wire, take(request("pay")).payload, 99.9)
-    with pytest.raises(BrokenReplyError):
+    wire = upstream.upstream_codec()
+    upstream.compose_attempt(wire, take(request("pay")).payload, 99.9)
+    with pytest.raises(BrokenResponseError):
         wire.receive(head)
 
 
 @pytest.mark.parametrize("more", [b"", OK, b"noise", b"HT"])
 def test_what_follows_a_reply_leaves_it_good_and_its_connection_useless(more: bytes) -> None:
-    wire = claims.claim_wire()
-    claims.compose_claim(wire, take(request("pay")).payload, 99.9)
+    wire = upstream.upstream_codec()
+    upstream.compose_attempt(wire, take(request("pay")).payload, 99.9)
     assert wire.receive(OK + more).body == b"done" and wire.reusable is not bool(more)
 
 
-def test_a_claim_says_how_long_the_proxy_will_wait() -> None:
+def test_a_attempt_says_how_long_the_proxy_will_wait() -> None:
     payload = take(request("pay", 480, b"abc")).payload
-    sent = claims.compose_claim(claims.claim_wire(), payload, 99.9)
+    sent = upstream.compose_attempt(upstream.upstream_codec(), payload, 99.9)
     assert b"X-Deadline-Ms: 99\r\n" in sent and sent.endswith(b"\r\n\r\nabc")
 
 
@@ -251,15 +252,17 @@
     return json.dumps({"index": 41, "snapshot": True, "endpoints": [line]}).encode()
 
 
-def test_a_machine_list_is_read() -> None:
-    told = machine_list.read_list(Reply(200, {}, listed(weight=1.5, since_ms=1.7e12, status="draining")), CFG)
-    (machine,) = told.machines
-    entry = machine.entry
-    assert (told.revision, told.whole, machine.host, machine.port) == (41, True, "10.1.0.18", 3000)
-    assert (entry.id, entry.size, entry.cell, entry.started_at_ms) == (b"s-1", 1.5, 3, 1.7e12)
-    assert (entry.availability, entry.zone, entry.kind) == (Availability.DRAINING, 1, 0)
-    (machine,) = machine_list.read_list(Reply(200, {}, listed(zone="c", since_ms=0)), CFG).machines
-    assert machine.entry.zone not in (0, 1) and machine.entry.started_at_ms == 0.0
+def test_a_endpoint_list_is_read() -> None:
+    told = endpoint_list.read_list(
+        HttpResponse(200, {}, listed(weight=1.5, since_ms=1.7e12, status="draining")), CFG
+    )
+    (endpoint,) = told.endpoints
+    entry = endpoint.entry
+    assert (told.revision, told.whole, endpoint.host, endpoint.port) == (41, True, "10.1.0.18", 3000)
+    assert (entry.id, entry.weight, entry.cell, entry.started_at_ms) == (b"s-1", 1.5, 3, 1.7e12)
+    assert (entry.availability, entry.zone, entry.endpoint_type) == (Availability.DRAINING, 1, 0)
+    (endpoint,) = endpoint_list.read_list(HttpResponse(200, {}, listed(zone="c", since_ms=0)), CFG).endpoints
+    assert endpoint.entry.zone not in (0, 1) and endpoint.entry.started_at_ms == 0.0
 
 
 @pytest.mark.parametrize(
@@ -282,21 +285,21 @@
         ),
     ],
 )
-def test_garbage_is_no_machine_list(body: bytes) -> None:
-    with pytest.raises(MachineListError):
-        machine_list.read_list(Reply(200, {}, body), CFG)
+def test_garbage_is_no_endpoint_list(body: bytes) -> None:
+    with pytest.raises(EndpointListError):
+        endpoint_list.read_list(HttpResponse(200, {}, body), CFG)
 
 
-def test_a_failed_call_is_no_machine_list() -> None:
-    with pytest.raises(MachineListError, match="503"):
-        machine_list.read_list(Reply(503, {}, listed()), CFG)
+def test_a_failed_call_is_no_endpoint_list() -> None:
+    with pytest.raises(EndpointListError, match="503"):
+        endpoint_list.read_list(HttpResponse(503, {}, listed()), CFG)
 
 
 # ---- second answers ----------------------------------------------------------------------------------
 
 
 def test_an_answer_equal_to_the_last_is_a_second_copy_only_if_it_is_soon_and_answers_differ_here() -> None:
-    second = SecondAnswers()
+    second = DuplicateResponseDetector()
     soon, late = SOON_S / 4, SOON_S
     assert not second.may_follow(1, soon) and second.may_follow(1, late)  # nothing is known yet: rest
     assert not second.is_second(1, 1, soon)
@@ -313,18 +316,18 @@
 
 @pytest.mark.parametrize(("status", "body"), [(503, b"x"), (500, b"x"), (200, b"")])
 def test_answers_that_are_alike_by_nature_have_no_fingerprint(status: int, body: bytes) -> None:
-    assert fingerprint(Reply(status, {}, body)) is None
-    assert fingerprint(Reply(200, {}, b"a")) == fingerprint(Reply(200, {}, b"a")) is not None
+    assert fingerprint(HttpResponse(status, {}, body)) is None
+    assert fingerprint(HttpResponse(200, {}, b"a")) == fingerprint(HttpResponse(200, {}, b"a")) is not None
 
 
 def test_zones_and_types_that_nobody_named_are_told_apart() -> None:
     """A repeat that is harmless inside a zone would else go to any other that the settings do not know."""
-    settings = Settings.from_pairs(flatten(SETTINGS))
+    settings = read_settings(flatten(SETTINGS))
     lines = [
-        machine_list.EndpointDoc(f"s{n}", "127.0.0.1:1", "ready", zone=zone, type=zone)
+        endpoint_list.EndpointDoc(f"s{n}", "127.0.0.1:1", "ready", zone=zone, type=zone)
         for n, zone in enumerate(("a", "elsewhere", "nowhere", "elsewhere", "b"))
     ]
-    told = machine_list.to_machine_list(machine_list.MachineListDoc(1, True, lines), settings)
-    zones = [m.entry.zone for m in told.machines]
+    told = endpoint_list.to_endpoint_list(endpoint_list.EndpointListDoc(1, True, lines), settings)
+    zones = [m.entry.zone for m in told.endpoints]
     assert (zones[0], zones[4]) == (0, 1) and zones[1] == zones[3]
-    assert len(set(zones)) == 4 and len({m.entry.kind for m in told.machines}) == 4
+    assert len(set(zones)) == 4 and len({m.entry.endpoint_type for m in told.endpoints}) == 4
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -35,7 +35,7 @@
         status, _, _ = await rig.ask(cls, wait=600)
         assert status in statuses  # 503 would promise that it has not run
         assert time.monotonic() - started >= 0.55
-        assert len(rig.nodes[0].got) == 1
+        assert len(rig.endpoints[0].got) == 1
 
 
 @real
@@ -54,14 +54,14 @@
         wake.set()
         answers = [await rig.ask("pay", X_Request_Id=f"r-{n}") for n in range(2, 6)]
         assert [(status, body) for status, _, body in answers] == [(200, b"r-%d" % n) for n in range(2, 6)]
-        assert rig.nodes[0].opened >= 2  # its first connection was given up with the request
+        assert rig.endpoints[0].opened >= 2  # its first connection was given up with the request
 
 
 @real
 async def test_after_a_pause_of_three_seconds_what_is_due_is_answered_and_what_came_is_served() -> None:
     async with Rig(Party("s1", None), Party("s2")) as rig:
         due = asyncio.create_task(rig.ask("pay", wait=1000))
-        while not rig.nodes[0].got:
+        while not rig.endpoints[0].got:
             if due.done():  # it went to the other one
                 due = asyncio.create_task(rig.ask("pay", wait=1000))
             await asyncio.sleep(0.005)
@@ -118,14 +118,14 @@
 
 
 @real
-async def test_a_submitter_that_goes_away_ends_its_claim() -> None:
+async def test_a_client_that_goes_away_ends_its_attempt() -> None:
     async with Rig(Party("s1", None), settings={"bounds": {"cancel": True, "may_duplicate": True}}) as rig:
         _, writer = await asyncio.open_connection("127.0.0.1", rig.port)
         writer.write(request("pay", 20000))
-        while not rig.nodes[0].got:
+        while not rig.endpoints[0].got:
             await asyncio.sleep(0.005)
         writer.close()
-        await asyncio.wait_for(rig.nodes[0].ended.wait(), 10.0)
+        await asyncio.wait_for(rig.endpoints[0].ended.wait(), 10.0)
 
 
 @real
@@ -138,11 +138,11 @@
 
     async with Rig(Party("s1", late)) as rig:
         first = asyncio.create_task(rig.ask("pay"))
-        while not rig.nodes[0].got:
+        while not rig.endpoints[0].got:
             await asyncio.sleep(0.005)
         rig.proxy.send_signal(signal.SIGTERM)
         second = asyncio.create_task(rig.ask("pay"))  # new ones are taken still
-        while len(rig.nodes[0].got) < 2 or await rig.ready():
+        while len(rig.endpoints[0].got) < 2 or await rig.ready():
             await asyncio.sleep(0.005)
         release.set()
         for answer in (await first, await second):
@@ -155,7 +155,7 @@
 
 @real
 @pytest.mark.parametrize(
-    ("reply", "statuses", "claims"),
+    ("reply", "statuses", "attempts"),
     [
         (OK, (200,), 1),
         (b"", (502,), 1),  # ended after the last byte: it may have run
@@ -170,13 +170,13 @@
         (NOT_RUN, (503,), 2),  # it never ran: another node, then a refusal
     ],
 )
-async def test_what_must_not_run_twice(reply: bytes, statuses: tuple[int, ...], claims: int) -> None:
+async def test_what_must_not_run_twice(reply: bytes, statuses: tuple[int, ...], attempts: int) -> None:
     async with Rig(Party("s1", reply), Party("s2", reply)) as rig:
         status, _, body = await rig.ask("pay", wait=900)
         assert status in statuses
         assert body == b"done" or status != 200
-        sent = sum(len(node.got) for node in rig.nodes)
-        assert sent == 1 if claims == 1 else sent >= 2
+        sent = sum(len(endpoint.got) for endpoint in rig.endpoints)
+        assert sent == 1 if attempts == 1 else sent >= 2
 
 
 @real
@@ -188,14 +188,14 @@
 @real
 async def test_a_keyed_request_that_may_have_run_stays_in_its_group() -> None:
     """`a` ends connections unanswered; only its group may be tried again."""
-    nodes = [Party("a", b"", group=1), Party("b", group=1), Party("c", b"", group=2), Party("d", group=2)]
-    async with Rig(*nodes) as rig:
+    endpoints = [Party("a", b"", group=1), Party("b", group=1), Party("c", b"", group=2), Party("d", group=2)]
+    async with Rig(*endpoints) as rig:
         for _ in range(8):
             mine = f"k{_}"
             await rig.ask("put", Idempotency_Key=mine)
-            used = {n.line["group"] for n in nodes for got in n.got if got[1]["idempotency-key"] == mine}
+            used = {n.line["group"] for n in endpoints for got in n.got if got[1]["idempotency-key"] == mine}
             assert len(used) == 1
-        assert nodes[1].got or nodes[3].got
+        assert endpoints[1].got or endpoints[3].got
 
 
 @real
@@ -208,11 +208,11 @@
 
     async with Rig(Party("s1", late)) as rig:
         first = asyncio.create_task(rig.ask("pay", X_Request_Id="r-1"))
-        while not rig.nodes[0].got:
+        while not rig.endpoints[0].got:
             await asyncio.sleep(0.005)
         assert (await rig.ask("look", X_Request_Id="r-1"))[0] == 400
         release.set()
-        assert (await first)[0] == 200 and len(rig.nodes[0].got) == 1
+        assert (await first)[0] == 200 and len(rig.endpoints[0].got) == 1
         assert (await rig.ask("look", X_Request_Id="r-1"))[0] == 200  # open no longer
 
 
@@ -224,7 +224,7 @@
 async def test_a_node_that_drains_gets_nothing_more(state: str) -> None:
     async with Rig(Party("s1"), Party("s2")) as rig:
         await asyncio.gather(*(rig.ask() for _ in range(8)))
-        one, two = rig.nodes
+        one, two = rig.endpoints
         assert one.got and two.got
         await rig.asked(1)
         if state == "missing":
@@ -247,7 +247,7 @@
         gaps = []
         for index in range(5, 8):
             await rig.asked(index - 4)
-            rig.tell(rig.nodes[0].entry(), index=index)
+            rig.tell(rig.endpoints[0].entry(), index=index)
             told = time.monotonic()
             await rig.asked(index - 3)
             gaps.append(rig.calls[-1] - told)
@@ -261,15 +261,15 @@
 
 @real
 async def test_ready_only_once_it_can_serve() -> None:
-    node = Party("s1")
-    await node.start()
+    endpoint = Party("s1")
+    await endpoint.start()
     async with Rig() as rig:
         assert await rig.ready() is False
-        rig.tell(node.entry())
+        rig.tell(endpoint.entry())
         await rig.asked(2)
         assert await rig.ready() is True
         assert (await rig.ask())[0] == 200
-    node.server.close()
+    endpoint.server.close()
 
 
 # ---- rule 4: a cold node is not pushed over ---------------------------------------------------------------
@@ -295,7 +295,7 @@
         sent = request("put", 5000, b"\x00body", X_Request_Id="r-77", Connection="keep-alive")
         status, headers, body = await rig.raw(sent)
         assert (status, body) == (200, b"done") and "connection" not in headers
-        line, got, passed = rig.nodes[0].got[0]
+        line, got, passed = rig.endpoints[0].got[0]
         assert (line, passed) == (b"POST /put/7f3a?x=1 HTTP/1.1", b"\x00body")
         assert (got["x-request-id"], got["idempotency-key"]) == ("r-77", "k1")
         assert 0 < int(got["x-deadline-ms"]) <= 5000 and "connection" not in got
@@ -309,7 +309,7 @@
             writer.write(request())
             assert (await reader.readuntil(b"done")).startswith(b"HTTP/1.1 200")
             await asyncio.sleep(0.02)  # a node's connection rests a moment
-        assert rig.nodes[0].opened == 1
+        assert rig.endpoints[0].opened == 1
 
 
 @real
@@ -318,16 +318,16 @@
         Party("s1", OK[:-4].replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n") + b"done")
     ) as rig:
         assert [(await rig.ask("pay"))[0] for _ in range(4)] == [200] * 4
-        assert rig.nodes[0].opened == 4
+        assert rig.endpoints[0].opened == 4
 
 
 @real
 async def test_an_idle_connection_is_closed_well_before_the_node_would() -> None:
     async with Rig(Party("s1"), settings={"bounds": {"conn_idle_ms": 1000.0}}) as rig:
         assert (await rig.ask("pay"))[0] == 200
-        await rig.nodes[0].ended.wait()  # the node itself closes nothing
+        await rig.endpoints[0].ended.wait()  # the node itself closes nothing
         assert (await rig.ask("pay"))[0] == 200
-        assert rig.nodes[0].opened == 2
+        assert rig.endpoints[0].opened == 2
 
 
 @real
@@ -342,7 +342,7 @@
         Party("s1", address=address), Party("s2"), settings={"bounds": {"dial_timeout_ms": 100.0}}
     ) as rig:
         assert [(await rig.ask("pay"))[0] for _ in range(4)] == [200] * 4
-        assert rig.nodes[0].got == []
+        assert rig.endpoints[0].got == []
     for sock in (full, *fillers):
         sock.close()
 
@@ -355,5 +355,5 @@
         assert (await rig.raw(request("pay").replace(b"POST", b"GET")))[0] == 405
         assert (await rig.raw(request("pay", body=b"x" * 70000)))[0] == 413
         assert (await rig.ask(X_Tenant="nobody"))[0] == 400
-        assert rig.nodes[0].got == []
+        assert rig.endpoints[0].got == []
         assert (await rig.ask())[0] == 200
--- a/tests/test_crossings.py
+++ b/tests/test_races.py
@@ -28,13 +28,13 @@
     assert (await rig.ask("look"))[0] == 200
 
 
-# ---- the submitter leaves ----------------------------------------------------------------------------------
+# ---- the client leaves ----------------------------------------------------------------------------------
 
 
 @real
 @pytest.mark.parametrize("how", ["closes", "ends its sending", "resets"])
 @pytest.mark.parametrize("behind", [0, 40000])
-async def test_who_left_before_its_request_was_read_has_nothing_sent_on(how: str, behind: int) -> None:
+async def test_who_left_before_its_request_was_read_has_nothing_forwarded(how: str, behind: int) -> None:
     """Its whole request and the end of its connection lie unread together: the proxy is stopped meanwhile.
     With much behind the request nobody would read up to the end."""
     async with Rig(Party("s1")) as rig:
@@ -51,7 +51,7 @@
                 writer.write_eof()
         rig.proxy.send_signal(signal.SIGCONT)
         await settled(rig)
-        assert [got[0][:9] for got in rig.nodes[0].got] == [b"GET /look"] * 2
+        assert [got[0][:9] for got in rig.endpoints[0].got] == [b"GET /look"] * 2
 
 
 @real
@@ -70,25 +70,25 @@
 
     async with Rig(Party("s1", busy), Party("s2", busy)) as rig:
         _, writer = await rig.connect(request("pay") * (1 + behind))
-        while not sum(len(node.got) for node in rig.nodes):
+        while not sum(len(endpoint.got) for endpoint in rig.endpoints):
             await asyncio.sleep(0.005)
         leave(writer)
         await settled(rig)
         release.set()
         await settled(rig)
-        assert sum(got[0].startswith(b"POST") for node in rig.nodes for got in node.got) == 1
+        assert sum(got[0].startswith(b"POST") for endpoint in rig.endpoints for got in endpoint.got) == 1
 
 
 @real
-async def test_who_left_behind_more_than_is_read_has_its_claim_ended() -> None:
-    """Not read from while its request is out: it is looked at now and then, and its claim is called off."""
+async def test_who_left_behind_more_than_is_read_has_its_attempt_ended() -> None:
+    """Not read from while its request is out: it is looked at now and then, and its attempt is called off."""
     bounds = SETTINGS["bounds"] | {"may_duplicate": True}
     async with Rig(Party("s1", None), settings={"bounds": bounds}) as rig:
         _, writer = await rig.connect(request("pay", 60000) * 400)
-        while not rig.nodes[0].got:
+        while not rig.endpoints[0].got:
             await asyncio.sleep(0.005)
         reset(writer)
-        await rig.nodes[0].ended.wait()
+        await rig.endpoints[0].ended.wait()
 
 
 # ---- replies whose end is that of the stream -----------------------------------------------------------
@@ -111,12 +111,12 @@
             writer.close()
 
     got: list[tuple] = []
-    node = Party("s1")
-    async with Rig(node) as rig:
+    endpoint = Party("s1")
+    async with Rig(endpoint) as rig:
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
         await rig.asked(1)
-        lines = [node.entry(address=f"127.0.0.1:{port}", name=name) for name in ("s1", "s2")]
+        lines = [endpoint.entry(address=f"127.0.0.1:{port}", name=name) for name in ("s1", "s2")]
         rig.tell(*lines, index=5, snapshot=True)
         await rig.asked(2)
         first = await rig.ask(cls)
@@ -142,12 +142,12 @@
         except OSError:
             ended.set()
 
-    node = Party("s1")
-    async with Rig(node) as rig:
+    endpoint = Party("s1")
+    async with Rig(endpoint) as rig:
         server = await asyncio.start_server(drip, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
         await rig.asked(1)
-        rig.tell(node.entry(address=f"127.0.0.1:{port}"), index=5, snapshot=True)
+        rig.tell(endpoint.entry(address=f"127.0.0.1:{port}"), index=5, snapshot=True)
         await rig.asked(2)
         for size, status in ((1, 504), (20000, 502)):
             step = size
@@ -162,7 +162,7 @@
 
 @real
 async def test_what_comes_as_a_connection_ends_is_not_taken_and_resets_nothing() -> None:
-    """The submitter has asked for the end of its connection. The answer is still on its way, more than its
+    """The client has asked for the end of its connection. The answer is still on its way, more than its
     system takes at a time, when it sends another request."""
     body = b"x" * 65000
 
@@ -181,7 +181,7 @@
             answer = await reader.read()  # to its end: a reset would be an error here
             assert answer.endswith(body)
             writer.close()
-        assert len(rig.nodes[0].got) == 5
+        assert len(rig.endpoints[0].got) == 5
 
 
 @real
@@ -196,12 +196,12 @@
         assert (await read_message(reader))[1]["connection"] == "close"
         assert await reader.read() == b""
         await settled(rig)
-        assert sum(got[0].startswith(b"POST") for got in rig.nodes[0].got) == 1
+        assert sum(got[0].startswith(b"POST") for got in rig.endpoints[0].got) == 1
 
 
 @real
 async def test_a_resting_connection_is_ended_without_a_reset_and_what_crosses_is_not_taken() -> None:
-    """After 2.1 s without a request it is ended. What its submitter sends just then goes nowhere, and it sees
+    """After 2.1 s without a request it is ended. What its client sends just then goes nowhere, and it sees
     an end, upon which it may send the request once more."""
     async with Rig(Party("s1")) as rig:
         reader, writer = await rig.connect(request("pay"))
@@ -211,7 +211,7 @@
             writer.write(request("pay"))
             await settled(rig)
         assert not writer.transport.is_closing()  # after a reset the second would have failed
-        assert sum(got[0].startswith(b"POST") for got in rig.nodes[0].got) == 1
+        assert sum(got[0].startswith(b"POST") for got in rig.endpoints[0].got) == 1
 
 
 @real
@@ -230,7 +230,7 @@
 
 
 @real
-async def test_idle_submitters_on_every_descriptor_keep_neither_news_nor_claims_nor_a_move_out() -> None:
+async def test_idle_clients_on_every_descriptor_keep_neither_news_nor_attempts_nor_a_move_out() -> None:
     """The rig allows 256. Whoever is let go comes again at once, while discovery goes down, is back with a
     drain, and the configuration moves elsewhere. Who was let go before its request was read asks again."""
     down = asyncio.Event()
@@ -254,7 +254,7 @@
 
     rig = Rig(Party("s1"), Party("s2"), Party("s3"))
     rig.discovery.reply = reply
-    old, new, newest = rig.nodes
+    old, new, newest = rig.endpoints
     async with rig:
         whole = rig.list_of(newest.entry(), index=1, snapshot=True)
         crowd = [asyncio.create_task(idle()) for _ in range(300)]
--- a/tests/test_histories.py
+++ b/tests/test_random_histories.py
@@ -1,7 +1,7 @@
 """Random histories of requests, cuts, replies and the ending: every request taken has exactly one conclusion.
 
-The listener, the exchange and the decisions are the real ones, submitters are real connections; in the nodes'
-place stands a list of claims that the history ends as it likes.
+The listener, the exchange and the decisions are the real ones, clients are real connections; in the nodes'
+place stands a list of attempts that the history ends as it likes.
 """
 
 from __future__ import annotations
@@ -12,32 +12,40 @@
 import pytest
 from rig import LIMIT_S, SETTINGS, read_message, request
 
+from alderspool.balancer.events import AttemptStatus, Availability, EndpointEntry
+from alderspool.balancer.settings_reader import read_settings
 from alderspool.program.config import flatten
-from alderspool.protocol.claims import ExecuteNodeAnswer
-from alderspool.protocol.submitters import Reader
+from alderspool.protocol.downstream import RequestReader
+from alderspool.protocol.upstream import UpstreamResponse
 from alderspool.routing.clock import Clock
 from alderspool.routing.exchange import Exchange
-from alderspool.routing.messages import Claim, Machine, MachineList
-from alderspool.transport.budget import DescriptorBudget
+from alderspool.routing.messages import Attempt, Endpoint, EndpointList
+from alderspool.transport.descriptor_budget import DescriptorBudget
 from alderspool.transport.listener import Listener
-from lynxlift import interface as api
-from lynxlift.interface import Status
 
 STEPS = 60
-ENDS = (Status.OK, Status.OK, Status.OK, Status.ERROR, Status.REJECTED, Status.RESET, Status.CONNECT_FAILED)
+ENDS = (
+    AttemptStatus.OK,
+    AttemptStatus.OK,
+    AttemptStatus.OK,
+    AttemptStatus.ERROR,
+    AttemptStatus.REJECTED,
+    AttemptStatus.RESET,
+    AttemptStatus.CONNECT_FAILED,
+)
 
 
-class Nodes:
-    """Claims that are out."""
+class ScriptedUpstream:
+    """Attempts that are out."""
 
     def __init__(self) -> None:
-        self.out: list[Claim] = []
+        self.out: list[Attempt] = []
 
-    def dispatch(self, claim: Claim) -> None:
+    def dispatch(self, claim: Attempt) -> None:
         claim.written = True
         self.out.append(claim)
 
-    def withdraw(self, claim: Claim) -> None:
+    def withdraw(self, claim: Attempt) -> None:
         self.out.remove(claim)
 
     def close_idle(self, node: bytes) -> None:
@@ -47,7 +55,7 @@
         pass
 
 
-class Submitter:
+class ClientModel:
     """One connection, and the names of what was sent whole on it."""
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -76,12 +84,12 @@
 class History:
     def __init__(self, seed: int) -> None:
         self.random = Random(seed)
-        settings = api.Settings.from_pairs(flatten(SETTINGS | {"bounds": self.bounds()}))
-        self.nodes = Nodes()
+        settings = read_settings(flatten(SETTINGS | {"bounds": self.bounds()}))
+        self.nodes = ScriptedUpstream()
         self.exchange = Exchange(settings, seed, Clock())
-        self.listener = Listener(self.exchange, Reader(settings), DescriptorBudget(1024))
+        self.listener = Listener(self.exchange, RequestReader(settings), DescriptorBudget(1024))
         self.exchange.start(self.nodes, self.nodes, self.list_of("ready", "ready", "ready"))
-        self.submitters: list[Submitter] = []
+        self.submitters: list[ClientModel] = []
         self.tasks: list[asyncio.Task] = []
         self.revision, self.door_open = 1, True
 
@@ -89,10 +97,10 @@
         self.copies = self.random.random() < 0.5
         return {"cancel": True, "may_duplicate": self.copies, "max_attempts": self.random.randint(1, 5)}
 
-    def list_of(self, *states: str) -> MachineList:
-        known = {"ready": api.Availability.READY, "draining": api.Availability.DRAINING}
-        entries = [api.ServerEntry(b"s%d" % n, availability=known[s]) for n, s in enumerate(states)]
-        return MachineList(1, True, [Machine(e, "127.0.0.1", 9) for e in entries])
+    def list_of(self, *states: str) -> EndpointList:
+        known = {"ready": Availability.READY, "draining": Availability.DRAINING}
+        entries = [EndpointEntry(b"s%d" % n, availability=known[s]) for n, s in enumerate(states)]
+        return EndpointList(1, True, [Endpoint(e, "127.0.0.1", 9) for e in entries])
 
     async def settle(self) -> None:
         for _ in range(6):
@@ -124,11 +132,11 @@
 
     async def connect(self) -> None:
         if self.door_open:
-            submitter = Submitter(*await asyncio.open_connection("127.0.0.1", self.port))
+            submitter = ClientModel(*await asyncio.open_connection("127.0.0.1", self.port))
             self.submitters.append(submitter)
             self.tasks.append(asyncio.create_task(submitter.listen()))
 
-    async def pick(self) -> Submitter | None:
+    async def pick(self) -> ClientModel | None:
         await self.settle()  # whoever has been told that its connection ends knows it, and sends no more
         free = [s for s in self.submitters if s.free]
         return self.random.choice(free) if free else None
@@ -148,7 +156,7 @@
             submitter.writer.write(submitter.rest[:at])
             submitter.rest = submitter.rest[at:]
 
-    def compose(self, submitter: Submitter) -> None:
+    def compose(self, submitter: ClientModel) -> None:
         submitter.name = f"r{self.random.getrandbits(40)}"
         wait = self.random.choice((20, 20000, 20000))
         cls = self.random.choice(("look", "pay", "put"))
@@ -165,10 +173,14 @@
             claim = self.nodes.out.pop(self.random.randrange(len(self.nodes.out)))
             status = self.random.choice(ENDS)
             name = dict(claim.payload.headers)[b"x-request-id"]
-            self.exchange.claim_ended(claim, status, ExecuteNodeAnswer(name) if status == Status.OK else None)
+            self.exchange.attempt_ended(
+                claim, status, UpstreamResponse(name) if status == AttemptStatus.OK else None
+            )
 
     def news(self) -> None:
-        self.exchange.list_told(self.list_of(*(self.random.choice(("ready", "draining")) for _ in range(3))))
+        self.exchange.list_received(
+            self.list_of(*(self.random.choice(("ready", "draining")) for _ in range(3)))
+        )
 
 
 @pytest.mark.parametrize("first", range(0, 400, 100))
@@ -194,6 +206,6 @@
             whole += len(answers)
         counts = history.exchange.counts
         ends = sum(counts[how] for how in ("served", "requeued", "failed", "withdrawn"))
-        assert counts["taken"] == ends and history.exchange.owed == 0, seed
+        assert counts["taken"] == ends and history.exchange.pending == 0, seed
         assert not history.copies or not history.nodes.out, seed  # called off where copies are made at all
     assert whole > 500  # the histories are no empty ones
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -106,7 +106,7 @@
     await new.start()
     async with Rig(Party("s1", late)) as rig:
         taken = asyncio.create_task(rig.raw(request("pay")))
-        while not rig.nodes[0].got:
+        while not rig.endpoints[0].got:
             await asyncio.sleep(0.005)
         rig.reload(moved_to(rig, new)[: 200 if file == "half" else None])
         for number in numbers:
--- a/tests/test_wire.py
+++ b/tests/test_simulator_wire.py
@@ -9,8 +9,34 @@
 
 import pytest
 
-from lynxlift import adapter, wire
-from lynxlift import interface as api
+from alderspool.balancer.actions import (
+    Action,
+    Cancel,
+    CheckHealth,
+    CloseIdle,
+    Fail,
+    FetchList,
+    Log,
+    Reject,
+    Send,
+    SendToPeer,
+    SetTimer,
+    Watch,
+)
+from alderspool.balancer.events import (
+    ClientDisconnected,
+    EndpointEntry,
+    EndpointListUpdate,
+    HealthChecked,
+    Outcome,
+    PeerMessage,
+    Request,
+    ResponseStarted,
+    TimerFired,
+)
+from alderspool.balancer.settings import SettingsError
+from alderspool.balancer.settings_reader import read_settings
+from alderspool.simulator import adapter, wire
 
 BATCH = bytes.fromhex(
     "00000000206ec040 3e000000 03000000 0c000000"
@@ -23,37 +49,37 @@
     (
         "12 03000000 02 29000000 02000000 0a124a07 c32b 0000803f 0000 0000000000000000 00 00 0000"
         "0a9011f2 ec2b 0000c03f 0000 0000000000d4b740 00 01 0000",
-        api.ServerList(2, [api.ServerEntry(A, 1.0), api.ServerEntry(B, 1.5, 0, 6100.0, 0, 1, 0)], 41),
+        EndpointListUpdate(2, [EndpointEntry(A, 1.0), EndpointEntry(B, 1.5, 0, 6100.0, 0, 1, 0)], 41),
     ),
     (
         "10 03000000 c4913a5d 640ad2557c3bf091 0000000000006e40 0000 01 00000000 0000000000002840",
-        api.Request(0x5D3A91C4, 240.0, 0, 0, 0x91F03B7C55D20A64, 12.0),
+        Request(0x5D3A91C4, 240.0, 0, 0, 0x91F03B7C55D20A64, 12.0),
     ),
-    ("16 03000000 0100 0a9011f2 ec2b 666666666666f63f 00", api.Probed(B, 1, 1.4)),
-    ("17 03000000 4d00000000000000", api.TimerDue(77)),
+    ("16 03000000 0100 0a9011f2 ec2b 666666666666f63f 00", HealthChecked(B, 1, 1.4)),
+    ("17 03000000 4d00000000000000", TimerFired(77)),
     (
         "18 03000000 c4913a5d 00 0a124a07 c32b 0100 0000000000803240 01 00",
-        api.Outcome(0x5D3A91C4, 0, A, 1, 18.5, True),
+        Outcome(0x5D3A91C4, 0, A, 1, 18.5, True),
     ),
     ("14 03000000", wire.Killed()),
-    ("15 03000000 0200 0400 68692037", api.PeerMessage(2, b"hi 7")),
-    ("13 03000000 c4913a5d 00 0a124a07 c32b 0000000000802240", api.StreamStarted(0x5D3A91C4, 0, A, 9.25)),
+    ("15 03000000 0200 0400 68692037", PeerMessage(2, b"hi 7")),
+    ("13 03000000 c4913a5d 00 0a124a07 c32b 0000000000802240", ResponseStarted(0x5D3A91C4, 0, A, 9.25)),
 ]
 
 ACTIONS = [
-    (api.Send(0x5D3A91C4, A, 80.0), "10 03000000 c4913a5d 0a124a07 c32b 0000000000005440"),
-    (api.Cancel(0x5D3A91C4, 0), "13 03000000 c4913a5d 00"),
-    (api.TellPeer(b"hi 7"), "17 03000000 ffff 0400 68692037"),
-    (api.TellPeer(b"hi 7", 2), "17 03000000 0200 0400 68692037"),
-    (api.Watch(), "1a 03000000 01"),
-    (api.Watch(False), "1a 03000000 00"),
-    (api.FetchList(), "1b 03000000"),
-    (api.CloseIdle(B), "16 03000000 0a9011f2 ec2b"),
-    (api.Fail(0x0E6F2B19), "12 03000000 192b6f0e"),
-    (api.SetTimer(77, 500.0), "14 03000000 4d00000000000000 0000000000407f40"),
-    (api.Refuse(0x0E6F2B19, 250.0), "11 03000000 192b6f0e 0000000000406f40"),
-    (api.Probe(B), "15 03000000 0a9011f2 ec2b"),
-    (api.Log("two servers known"), "18 03000000 1100 74776f2073657276657273206b6e6f776e"),
+    (Send(0x5D3A91C4, A, 80.0), "10 03000000 c4913a5d 0a124a07 c32b 0000000000005440"),
+    (Cancel(0x5D3A91C4, 0), "13 03000000 c4913a5d 00"),
+    (SendToPeer(b"hi 7"), "17 03000000 ffff 0400 68692037"),
+    (SendToPeer(b"hi 7", 2), "17 03000000 0200 0400 68692037"),
+    (Watch(), "1a 03000000 01"),
+    (Watch(False), "1a 03000000 00"),
+    (FetchList(), "1b 03000000"),
+    (CloseIdle(B), "16 03000000 0a9011f2 ec2b"),
+    (Fail(0x0E6F2B19), "12 03000000 192b6f0e"),
+    (SetTimer(77, 500.0), "14 03000000 4d00000000000000 0000000000407f40"),
+    (Reject(0x0E6F2B19, 250.0), "11 03000000 192b6f0e 0000000000406f40"),
+    (CheckHealth(B), "15 03000000 0a9011f2 ec2b"),
+    (Log("two servers known"), "18 03000000 1100 74776f2073657276657273206b6e6f776e"),
 ]
 
 
@@ -63,7 +89,7 @@
 
 
 @pytest.mark.parametrize(("action", "text"), ACTIONS)
-def test_actions_of_the_document(action: api.Action, text: str) -> None:
+def test_actions_of_the_document(action: Action, text: str) -> None:
     assert wire.encode_action(3, action) == bytes.fromhex(text)
 
 
@@ -77,7 +103,7 @@
     assert (now, length, count, number) == (8412.25, 62, 3, 12)
     events = wire.decode_batch(BATCH[20:], count)
     assert [who for who, _ in events] == [3, 3, 5]
-    assert events[2][1] == api.ClientGone(0x0E6F2B19)
+    assert events[2][1] == ClientDisconnected(0x0E6F2B19)
 
 
 def test_reply_of_the_document() -> None:
@@ -86,9 +112,9 @@
         "14 03000000 4d00000000000000 0000000000407f40 18 05000000 1100 74776f2073657276657273206b6e6f776e"
     )
     records = [
-        wire.encode_action(3, api.Send(0x5D3A91C4, A, 80.0)),
-        wire.encode_action(3, api.SetTimer(77, 500.0)),
-        wire.encode_action(5, api.Log("two servers known")),
+        wire.encode_action(3, Send(0x5D3A91C4, A, 80.0)),
+        wire.encode_action(3, SetTimer(77, 500.0)),
+        wire.encode_action(5, Log("two servers known")),
     ]
     assert wire.encode_reply(records, 12) == bytes.fromhex(text)
 
@@ -145,8 +171,8 @@
     ],
 )
 def test_unusable_settings_name_the_key(options: str, message: str) -> None:
-    with pytest.raises(api.SettingsError, match=message):
-        api.Settings.from_pairs(wire.parse_options(options))
+    with pytest.raises(SettingsError, match=message):
+        read_settings(wire.parse_options(options))
 
 
 def test_further_rules_are_read_where_stated_and_off_elsewhere() -> None:
@@ -154,13 +180,17 @@
         "classes.0.keep_order=true\nrules.key_rest_ms=50.0\nrules.full_may_have_run=true\nweights=live\n"
         "result_mix.log_loss_part=0.4\nresult_mix.nines_wanted=2.0\n"
     )
-    off = api.Settings.from_pairs(wire.parse_options(OPTIONS))
-    on = api.Settings.from_pairs(wire.parse_options(OPTIONS + BUDGET + further))
-    assert (off.classes[0].keep_order, off.full_may_have_run, off.key_rest_ms) == (False, False, 0.0)
-    assert (on.classes[0].keep_order, on.full_may_have_run, on.key_rest_ms) == (True, True, 50.0)
-    assert (off.retry_window_ms, off.retry_free, off.retry_ratio) == (0.0, 0.0, 0.0)
-    assert (on.retry_window_ms, on.retry_free, on.retry_ratio) == (5000.0, 2.0, 0.15)
-    assert (off.sizes_live, on.sizes_live) == (False, True)
+    off = read_settings(wire.parse_options(OPTIONS))
+    on = read_settings(wire.parse_options(OPTIONS + BUDGET + further))
+    assert (off.classes[0].ordered_by_key, off.rejected_may_have_run, off.key_quiesce_ms) == (
+        False,
+        False,
+        0.0,
+    )
+    assert (on.classes[0].ordered_by_key, on.rejected_may_have_run, on.key_quiesce_ms) == (True, True, 50.0)
+    assert (off.retry_budget_window_ms, off.retry_budget_floor, off.retry_budget_ratio) == (0.0, 0.0, 0.0)
+    assert (on.retry_budget_window_ms, on.retry_budget_floor, on.retry_budget_ratio) == (5000.0, 2.0, 0.15)
+    assert (off.weights_live, on.weights_live) == (False, True)
     assert (on.nines_part, on.nines_wanted) == (0.4, 2.0)
 
 
@@ -197,7 +227,7 @@
         replies.append((number, count, data[at + 12 : at + 12 + length]))
         at += 12 + length
     assert [(number, count) for number, count, _ in replies] == [(1, 0), (2, 1), (3, 0), (4, 0), (5, 1)]
-    assert replies[1][2] == wire.encode_action(3, api.Send(0x5D3A91C4, A, 0.0))
+    assert replies[1][2] == wire.encode_action(3, Send(0x5D3A91C4, A, 0.0))
 
 
 def test_adapter_names_a_cut_input() -> None:
@@ -208,14 +238,14 @@
 @pytest.mark.parametrize(
     ("data", "message"),
     [
-        (_batch(7, b"\x63" + bytes(8)), "lynxlift: record 0 at offset 0: unknown event code 99"),
+        (_batch(7, b"\x63" + bytes(8)), "alderspool: record 0 at offset 0: unknown event code 99"),
         (_batch(7, _enlist(1, "classes.count=1")), "classes.0.slo_ms: missing"),
         (b"abc", "input ends inside a batch header"),
     ],
 )
 def test_the_adapter_stops_with_one_line_and_a_status(data: bytes, message: str) -> None:
     done = subprocess.run(
-        [sys.executable, "-m", "lynxlift.adapter"], input=data, capture_output=True, check=False
+        [sys.executable, "-m", "alderspool.simulator.adapter"], input=data, capture_output=True, check=False
     )
     assert done.returncode == 2
     assert done.stderr.decode().count("\n") == 1 and message in done.stderr.decode()
@@ -223,6 +253,9 @@
 
 def test_the_adapter_ends_quietly_with_its_input() -> None:
     done = subprocess.run(
-        [sys.executable, "-m", "lynxlift.adapter"], input=_batch(1), capture_output=True, check=False
+        [sys.executable, "-m", "alderspool.simulator.adapter"],
+        input=_batch(1),
+        capture_output=True,
+        check=False,
     )
     assert (done.returncode, done.stderr, len(done.stdout)) == (0, b"", 12)
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -11,19 +11,20 @@
 import pytest
 from rig import LIMIT_S, OK, SETTINGS, Party, Rig, read_message, real, request
 
+from alderspool.balancer.events import AttemptStatus
+from alderspool.balancer.settings_reader import read_settings
 from alderspool.program.config import flatten
-from alderspool.protocol.claims import ExecuteNodeAnswer, ForwardRequest
-from alderspool.protocol.second_answers import SURE
-from alderspool.routing.messages import Claim
-from alderspool.transport.budget import DescriptorBudget
-from alderspool.transport.execute_nodes import ExecuteNodePool
+from alderspool.protocol.duplicate_responses import SURE
+from alderspool.protocol.upstream import ForwardedRequest, UpstreamResponse
+from alderspool.routing.messages import Attempt
+from alderspool.transport.descriptor_budget import DescriptorBudget
 from alderspool.transport.streams import connect, is_quiet
-from lynxlift.interface import Settings, Status
+from alderspool.transport.upstream_pool import UpstreamPool
 
 
 @real
-async def test_idle_submitters_make_room_before_descriptors_run_out() -> None:
-    """The rig allows 256 sockets; more submitters than that come, and each is served."""
+async def test_idle_clients_make_room_before_descriptors_run_out() -> None:
+    """The rig allows 256 sockets; more clients than that come, and each is served."""
     async with Rig(Party("s1")) as rig:
         kept = []
         for _ in range(300):
@@ -37,7 +38,7 @@
 
 @real
 async def test_who_finds_no_descriptor_is_refused_in_words_also_in_the_ending() -> None:
-    """The rig allows 256 sockets, 124 of them for submitters; each holds a request that no node answers."""
+    """The rig allows 256 sockets, 124 of them for clients; each holds a request that no node answers."""
     async with Rig(Party("s1", None)) as rig:
         asked = []
         for _ in range(220):
@@ -70,11 +71,11 @@
         for _ in range(2):
             assert (await reader.readuntil(b"done")).startswith(b"HTTP/1.1 200")
         writer.close()
-        assert [got[0].split()[0] for got in rig.nodes[0].got] == [b"GET", b"POST"]
+        assert [got[0].split()[0] for got in rig.endpoints[0].got] == [b"GET", b"POST"]
 
 
 @real
-async def test_a_planned_restart_loses_no_request_of_busy_submitters() -> None:
+async def test_a_planned_restart_loses_no_request_of_busy_clients() -> None:
     """A connection may end between requests, but only once its last answer has announced it."""
 
     async def submit(rig: Rig, served: list[str]) -> None:
@@ -109,7 +110,7 @@
         return OK
 
     async with Rig(Party("s1", late), Party("s2")) as rig:
-        old, new = rig.nodes
+        old, new = rig.endpoints
         moved = Party("discovery-2", lambda party: None if len(party.got) > 1 else whole)
         doc = json.dumps({"index": 0, "snapshot": True, "endpoints": [new.entry()]}).encode()
         whole = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(doc), doc)
@@ -141,7 +142,7 @@
 @pytest.mark.parametrize(
     "sent", [b"", b"POST /pay/1", request("pay", body=b"abc")[:-1], request() + b"GET /"]
 )
-async def test_a_submitter_without_a_whole_request_is_let_go_soon_though_it_trickles(sent: bytes) -> None:
+async def test_a_client_without_a_whole_request_is_let_go_soon_though_it_trickles(sent: bytes) -> None:
     async with Rig(Party("s1")) as rig:
         reader, writer = await asyncio.open_connection("127.0.0.1", rig.port)
         started = time.monotonic()
@@ -156,7 +157,7 @@
 
 
 @real
-async def test_a_flood_of_silent_connections_leaves_the_usual_submitters_theirs() -> None:
+async def test_a_flood_of_silent_connections_leaves_the_usual_clients_theirs() -> None:
     async with Rig(Party("s1")) as rig:  # it may hold 256 sockets
         reader, writer = await asyncio.open_connection("127.0.0.1", rig.port)
         silent = []
@@ -190,7 +191,7 @@
         reader, writer = await asyncio.open_connection("127.0.0.1", rig.port)
         writer.write(request("look").replace(b"/look/", b"/lock/") + request())
         assert (await reader.read(-1)).count(b"HTTP/1.1") == 1
-        assert rig.nodes[0].got == []
+        assert rig.endpoints[0].got == []
         writer.close()
 
 
@@ -198,15 +199,15 @@
 async def test_what_came_in_after_the_last_answer_shows_before_a_connection_is_used_again() -> None:
     with socket.create_server(("127.0.0.1", 0)) as server:
         reader, writer = await connect(*server.getsockname())
-        node, _ = server.accept()
+        endpoint, _ = server.accept()
         assert is_quiet(reader, writer)
-        node.send(OK)
+        endpoint.send(OK)
         assert not is_quiet(reader, writer)  # in the system's buffer, the loop has not looked yet
         while not reader.unread:
             await asyncio.sleep(0.005)
         assert not is_quiet(reader, writer)  # in ours
         assert await reader.read(1000) == OK and is_quiet(reader, writer)
-        node.close()
+        endpoint.close()
         assert not is_quiet(reader, writer)
         writer.close()
 
@@ -229,45 +230,45 @@
 
 
 class Ledger:
-    """In the exchange's place: what became of each claim."""
+    """In the exchange's place: what became of each attempt."""
 
     def __init__(self) -> None:
         self.ends: asyncio.Queue = asyncio.Queue()
 
-    def may_write(self, claim: Claim) -> bool:
+    def may_write(self, attempt: Attempt) -> bool:
         return True
 
-    def time_left_ms(self, claim: Claim) -> float:
+    def time_left_ms(self, attempt: Attempt) -> float:
         return 1000.0
 
-    def claim_ended(self, claim: Claim, status: int, answer: ExecuteNodeAnswer | None = None) -> None:
-        self.ends.put_nowait((claim.number, status, answer and answer.body))
+    def attempt_ended(self, attempt: Attempt, status: int, answer: UpstreamResponse | None = None) -> None:
+        self.ends.put_nowait((attempt.number, status, answer and answer.body))
 
 
-class OneNode:
+class OneEndpoint:
     """A pool with a clock that stands still, and a node that says what it is told to."""
 
     def __init__(self) -> None:
         self.ledger, self.now, self.count = Ledger(), 5.0, 0
-        settings = Settings.from_pairs(flatten(SETTINGS | {"bounds": {"dial_timeout_ms": 5000.0}}))
-        self.pool = ExecuteNodePool(self.ledger, settings, DescriptorBudget(64))
+        settings = read_settings(flatten(SETTINGS | {"bounds": {"dial_timeout_ms": 5000.0}}))
+        self.pool = UpstreamPool(self.ledger, settings, DescriptorBudget(64))
         self.pool._now = lambda: self.now
         self.server = socket.create_server(("127.0.0.1", 0))
         self.server.settimeout(LIMIT_S)
 
-    def claim(self) -> int:
+    def attempt(self) -> int:
         """Dispatches one; its number."""
         self.count += 1
-        request = ForwardRequest(b"GET", b"/look", [], b"")
+        request = ForwardedRequest(b"GET", b"/look", [], b"")
         self.pool.dispatch(
-            Claim(self.count, self.count, b"s1", *self.server.getsockname(), request, 0.0, 1e9)
+            Attempt(self.count, self.count, b"s1", *self.server.getsockname(), request, 0.0, 1e9)
         )
         return self.count
 
     async def accept(self) -> socket.socket:
         return (await asyncio.get_running_loop().run_in_executor(None, self.server.accept))[0]
 
-    async def end(self) -> tuple[int, Status, bytes | None]:
+    async def end(self) -> tuple[int, AttemptStatus, bytes | None]:
         return await self.ledger.ends.get()
 
 
@@ -276,51 +277,51 @@
 
 
 @real
-@pytest.mark.parametrize(("paused", "status"), [(0.0, Status.RESET), (0.001, Status.OK)])
-async def test_a_pause_of_ours_as_a_claim_is_written_does_not_make_its_answer_a_stray(
-    paused: float, status: Status
+@pytest.mark.parametrize(("paused", "status"), [(0.0, AttemptStatus.RESET), (0.001, AttemptStatus.OK)])
+async def test_a_pause_of_ours_as_a_attempt_is_written_does_not_make_its_answer_a_stray(
+    paused: float, status: AttemptStatus
 ) -> None:
-    """What is there as soon as a claim is written was sent for another one, unless time went by."""
-    node = OneNode()
-    node.claim()
-    line = await node.accept()
+    """What is there as soon as a attempt is written was sent for another one, unless time went by."""
+    endpoint = OneEndpoint()
+    endpoint.attempt()
+    line = await endpoint.accept()
     line.sendall(answer(b"1"))
-    assert await node.end() == (1, Status.OK, b"1")
+    assert await endpoint.end() == (1, AttemptStatus.OK, b"1")
 
-    def write_and_meet_an_answer(conn: object, claim: Claim, write=node.pool._write) -> None:
-        write(conn, claim)
+    def write_and_meet_an_answer(conn: object, attempt: Attempt, write=endpoint.pool._write) -> None:
+        write(conn, attempt)
         line.sendall(answer(b"2"))  # on the loopback it is there when this returns
-        node.now += paused
+        endpoint.now += paused
 
-    node.now += 1.0  # rested
-    node.pool._write = write_and_meet_an_answer
-    node.claim()
-    assert (await node.end())[:2] == (2, status)
+    endpoint.now += 1.0  # rested
+    endpoint.pool._write = write_and_meet_an_answer
+    endpoint.attempt()
+    assert (await endpoint.end())[:2] == (2, status)
 
 
 @real
-async def test_a_second_answer_some_milliseconds_late_does_not_pass_for_that_of_the_next_claim() -> None:
-    """The next claim follows at once. Until it is known that answers differ, the connection rests and the
-    claim goes out on another one; from then on the last answer over again is known for what it is."""
-    node = OneNode()
-    node.claim()
-    line = await node.accept()
+async def test_a_second_answer_some_milliseconds_late_does_not_pass_for_that_of_the_next_attempt() -> None:
+    """The next attempt follows at once. Until it is known that answers differ, the connection rests and the
+    attempt goes out on another one; from then on the last answer over again is known for what it is."""
+    endpoint = OneEndpoint()
+    endpoint.attempt()
+    line = await endpoint.accept()
     line.sendall(answer(b"1"))
-    assert await node.end() == (1, Status.OK, b"1")
-    node.claim()
-    other = await node.accept()
+    assert await endpoint.end() == (1, AttemptStatus.OK, b"1")
+    endpoint.attempt()
+    other = await endpoint.accept()
     line.sendall(answer(b"1"))  # the second copy, met by nobody
     other.sendall(answer(b"2"))
-    assert await node.end() == (2, Status.OK, b"2")
-    while node.count < 2 + SURE:
-        node.now += 1.0
-        body = b"%d" % node.claim()
+    assert await endpoint.end() == (2, AttemptStatus.OK, b"2")
+    while endpoint.count < 2 + SURE:
+        endpoint.now += 1.0
+        body = b"%d" % endpoint.attempt()
         other.sendall(answer(body))
-        assert await node.end() == (node.count, Status.OK, body)
-    node.now += 0.001
-    node.claim()
+        assert await endpoint.end() == (endpoint.count, AttemptStatus.OK, body)
+    endpoint.now += 0.001
+    endpoint.attempt()
     other.sendall(answer(body))  # the last one's, again
-    assert await node.end() == (node.count, Status.RESET, None)
-    node.claim()
-    (await node.accept()).sendall(answer(b"own"))
-    assert await node.end() == (node.count, Status.OK, b"own")
+    assert await endpoint.end() == (endpoint.count, AttemptStatus.RESET, None)
+    endpoint.attempt()
+    (await endpoint.accept()).sendall(answer(b"own"))
+    assert await endpoint.end() == (endpoint.count, AttemptStatus.OK, b"own")
