--- a/alderspool/balancer/settings_reader.py
+++ b/alderspool/balancer/settings_reader.py
@@ -39,7 +39,7 @@
 
 
 def read_settings(pairs: Mapping[str, str]) -> Settings:
-    """Builds the settings from path=value pairs; unknown keys are ignored, missing ones take the default.
+    """Build the settings from path=value pairs; unknown keys are ignored, missing ones take the default.
 
     Raises SettingsError, which names the key, where a value is missing or unusable.
     """
@@ -126,7 +126,7 @@
 
 
 def _check_retry_budget(get: PairReader) -> None:
-    """A retry budget is stated as a whole or not at all."""
+    """Check that a retry budget is stated as a whole or not at all."""
     if not any(get.has_value(key) for key in RETRY_BUDGET_KEYS):
         return
     get.number(RETRY_BUDGET_WINDOW, above=0.0)
@@ -145,15 +145,15 @@
         return bool(self._pairs.get(key))
 
     def text(self, key: str, default: str) -> str:
-        """The value as it stands."""
+        """Return the value as it stands."""
         return self._pairs.get(key, default)
 
     def names(self, key: str) -> list[str]:
-        """The names in a comma-separated list, without empty ones."""
+        """Return the names in a comma-separated list, without empty ones."""
         return [name for name in self.text(key, "").split(",") if name]
 
     def number(self, key: str, default: float | None = None, above: float | None = None) -> float:
-        """A finite number, at least 0 and over `above`; required where there is no default."""
+        """Return a finite number, at least 0 and over `above`; required where there is no default."""
         raw = self._pairs.get(key)
         if raw is None or raw == "":
             if default is None:
@@ -170,14 +170,14 @@
         return value
 
     def count(self, key: str, default: int, least: int = 0) -> int:
-        """A whole number of at least `least`."""
+        """Return a whole number of at least `least`."""
         value = self.number(key, float(default))
         if value != int(value) or value < least:
             raise SettingsError(f"{key}: not a whole number of at least {least}: {value}")
         return int(value)
 
     def flag(self, key: str, default: bool) -> bool:
-        """True or false."""
+        """Return whether the value is true."""
         raw = self._pairs.get(key)
         if raw is None or raw == "":
             return default
@@ -186,7 +186,7 @@
         return raw == "true"
 
     def choice(self, key: str, choices: Mapping[str, Choice], default: str) -> Choice:
-        """The choice that the value names, in lower or upper case."""
+        """Return the choice that the value names, in lower or upper case."""
         raw = self._pairs.get(key, default)
         try:
             return choices[raw.lower()]
