--- a/alderspool/program/app.py
+++ b/alderspool/program/app.py
@@ -11,6 +11,7 @@
 from loguru import logger
 
 from alderspool.program.config import Config, ConfigError, load
+from alderspool.program.graceful_shutdown import ShutdownBudget, shut_down
 from alderspool.program.signals import EarlySignals
 from alderspool.protocol.downstream import RequestReader
 from alderspool.routing.clock import Clock
@@ -23,16 +24,6 @@
 # Where lists are pushed, what the agent beside us has counts as told from our first moment: nobody is let in
 # before it has answered, unless it is silent for so long.
 AGENT_S = 2.0
-# After SIGTERM new connections keep coming for a while, so the door stays open this long.
-ACCEPT_S = 0.7
-# SIGKILL comes no sooner than ACCEPT_S plus the longest deadline, counted as this where it is longer.
-LONGEST_DEADLINE_S = 3.0
-# What is owed so long before that is answered then: on a shared core timers fire late, and SIGTERM was
-# sent some time before we saw it. Never more than the second figure of the longest deadline.
-EXIT_MARGIN_S, EXIT_MARGIN_PART = 0.25, 0.25
-# The last answers may take so long to leave; who has not read them by then is let go.
-LEAVE_S = 3.0
-DRAIN_STEP_S = 0.02
 # What lives from the start is set aside, so that a collection looks at what is open now and takes a
 # millisecond or two. asyncio's transports and httptools' parsers are cycles: without frequent
 # collections each connection that ever was would stay in memory for minutes.
@@ -76,7 +67,7 @@
         gc.set_threshold(*GC_THRESHOLDS)
         await stop.wait()
         logger.info("{} drains; {} requests owed", config.name, exchange.pending_count)
-        await _drain(exchange, listener, config)
+        await shut_down(exchange, listener, ShutdownBudget.from_settings(config.settings))
     logger.info("{} ends; {}", config.name, exchange.counts)
 
 
@@ -93,23 +84,5 @@
         logger.warning("settings or limits have changed too: they take a restart")
 
 
-async def _drain(exchange: Exchange, listener: Listener, config: Config) -> None:
-    """Leaves when nothing is owed and no byte waits to leave; by the last moment all is answered."""
-    loop = asyncio.get_running_loop()
-    longest = min(max(c.deadline_ms for c in config.settings.classes) / 1000.0, LONGEST_DEADLINE_S)
-    last = loop.time() + ACCEPT_S + longest - min(EXIT_MARGIN_S, EXIT_MARGIN_PART * longest)
-    listener.start_draining()
-    await asyncio.sleep(ACCEPT_S)
-    listener.stop_accepting()
-    while (exchange.pending_count or listener.open_count) and loop.time() < last:
-        await asyncio.sleep(DRAIN_STEP_S)
-        listener.close_idle()
-    exchange.fail_pending()
-    while listener.open_count and loop.time() < last + LEAVE_S:
-        listener.reject_incomplete()
-        await asyncio.sleep(DRAIN_STEP_S)
-    listener.abort_all()
-
-
 def run(config: Config, early: EarlySignals | None = None) -> None:
     asyncio.run(serve(config, early))
--- a/tests/test_graceful_shutdown.py
+++ b/tests/test_graceful_shutdown.py
@@ -1,107 +1,306 @@
-"""The ending: whatever was taken before the proxy leaves has one whole answer, at whatever moment it came."""
+"""Graceful shutdown: each request accepted before the end has one complete response, whenever it came.
+
+The first part tests the order of the steps and their times without sockets, in virtual time; the second part
+runs the real program.
+"""
 
 from __future__ import annotations
 
 import asyncio
+import selectors
 import signal
 import time
+from collections.abc import Coroutine
+from enum import Enum
 
 import pytest
 from rig import SETTINGS, Party, Rig, read_message, real, request
 
-DOOR_S = 0.7  # the door stays open so long after SIGTERM
+from alderspool.balancer.settings import RequestClass, Settings
+from alderspool.program.graceful_shutdown import CHECK_INTERVAL_S, ShutdownBudget, shut_down
+
+ACCEPT_S = 0.7  # connections are accepted for this long after SIGTERM
+POLL_INTERVAL_S = 0.005
+
+# ---- without sockets ----------------------------------------------------------------------------
+
+
+def settings_with_deadlines(*deadlines_ms: float) -> Settings:
+    return Settings(classes=[RequestClass("c", 100.0, deadline_ms) for deadline_ms in deadlines_ms])
+
+
+@pytest.mark.parametrize(
+    ("deadlines_ms", "finish_s"),
+    [
+        pytest.param([300.0], 0.225, id="margin-is-a-quarter-of-a-short-deadline"),
+        pytest.param([1000.0], 0.75, id="margin-changes-over-at-1-s"),
+        pytest.param([2000.0], 1.75, id="margin-is-a-quarter-of-a-second"),
+        pytest.param([300.0, 2000.0, 400.0], 1.75, id="longest-class-counts"),
+        pytest.param([3000.0], 2.75, id="at-the-cap"),
+        pytest.param([20000.0], 2.75, id="longer-deadline-counts-as-3-s"),
+        pytest.param([300.0, 20000.0], 2.75, id="cap-applies-to-the-longest"),
+    ],
+)
+def test_budget_of_time_follows_the_longest_deadline(deadlines_ms: list[float], finish_s: float) -> None:
+    budget = ShutdownBudget.from_settings(settings_with_deadlines(*deadlines_ms))
+    assert budget.accept_s == ACCEPT_S
+    assert budget.finish_s == pytest.approx(finish_s)
+    assert budget.flush_s == 3.0
+    assert budget.fail_pending_after_s == pytest.approx(ACCEPT_S + finish_s)
+    assert budget.abort_after_s == pytest.approx(ACCEPT_S + finish_s + 3.0)
+
+
+@pytest.mark.parametrize("deadline_ms", [1.0, 300.0, 999.0, 1000.0, 1001.0, 2999.0, 3000.0, 3001.0, 1e9])
+def test_pending_requests_are_failed_before_sigkill_may_come(deadline_ms: float) -> None:
+    budget = ShutdownBudget.from_settings(settings_with_deadlines(deadline_ms))
+    earliest_sigkill_s = ACCEPT_S + min(deadline_ms / 1000.0, 3.0)
+    assert ACCEPT_S < budget.fail_pending_after_s < earliest_sigkill_s
+
+
+class Step(Enum):
+    """What the shutdown calls."""
+
+    START_DRAINING = "start draining"
+    STOP_ACCEPTING = "stop accepting"
+    CLOSE_IDLE = "close idle"
+    FAIL_PENDING = "fail pending"
+    REJECT_INCOMPLETE = "reject incomplete"
+    ABORT_ALL = "abort all"
+
+
+class ShutdownRecorder:
+    """Stands for the exchange and the listener; records each first call of a step and when it came.
+
+    `pending_until_s` and `open_until_s` are when the last request is done and the last connection closed,
+    in seconds of the loop's clock.
+    """
+
+    def __init__(self, pending_until_s: float = 0.0, open_until_s: float = 0.0) -> None:
+        self._pending_until_s = pending_until_s
+        self._open_until_s = open_until_s
+        self.times_s: dict[Step, float] = {}
+
+    def _record(self, step: Step) -> None:
+        self.times_s.setdefault(step, asyncio.get_running_loop().time())
+
+    @property
+    def pending_count(self) -> int:
+        return int(asyncio.get_running_loop().time() < self._pending_until_s)
+
+    @property
+    def open_count(self) -> int:
+        return int(asyncio.get_running_loop().time() < self._open_until_s)
+
+    def start_draining(self) -> None:
+        self._record(Step.START_DRAINING)
+
+    def stop_accepting(self) -> None:
+        self._record(Step.STOP_ACCEPTING)
+
+    def close_idle(self) -> None:
+        self._record(Step.CLOSE_IDLE)
+
+    def fail_pending(self) -> None:
+        self._record(Step.FAIL_PENDING)
+
+    def reject_incomplete(self) -> None:
+        self._record(Step.REJECT_INCOMPLETE)
+
+    def abort_all(self) -> None:
+        self._record(Step.ABORT_ALL)
+
+
+class VirtualTimeSelector(selectors.SelectSelector):
+    """Moves its clock on in the place of waiting."""
+
+    now_s = 0.0
+
+    def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
+        self.now_s += timeout or 0.0
+        return super().select(0)
+
+
+class VirtualTimeLoop(asyncio.SelectorEventLoop):
+    """An event loop whose timers fire at once, each at its exact time of a clock that starts at 0."""
+
+    def __init__(self) -> None:
+        self._virtual_time = VirtualTimeSelector()
+        super().__init__(self._virtual_time)
+
+    def time(self) -> float:
+        return self._virtual_time.now_s
+
+
+def run_in_virtual_time(coroutine: Coroutine[None, None, None]) -> None:
+    with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
+        runner.run(coroutine)
+
+
+BUDGET = ShutdownBudget(accept_s=0.7, finish_s=2.75, flush_s=3.0)
+HANGS_S = 1e9
+CLOCK_TOLERANCE_S = 1e-6
+
+
+def test_shutdown_ends_once_connections_stop_being_accepted_where_nothing_is_open() -> None:
+    recorder = ShutdownRecorder()
+    run_in_virtual_time(shut_down(recorder, recorder, BUDGET))
+    assert list(recorder.times_s) == [
+        Step.START_DRAINING,
+        Step.STOP_ACCEPTING,
+        Step.FAIL_PENDING,
+        Step.ABORT_ALL,
+    ]
+    assert recorder.times_s[Step.START_DRAINING] == 0.0
+    assert recorder.times_s[Step.STOP_ACCEPTING] == pytest.approx(0.7, abs=CLOCK_TOLERANCE_S)
+    assert recorder.times_s[Step.ABORT_ALL] == recorder.times_s[Step.STOP_ACCEPTING]
+
+
+def test_shutdown_steps_have_their_order_and_deadlines_where_everything_hangs() -> None:
+    recorder = ShutdownRecorder(pending_until_s=HANGS_S, open_until_s=HANGS_S)
+    run_in_virtual_time(shut_down(recorder, recorder, BUDGET))
+    assert list(recorder.times_s) == [
+        Step.START_DRAINING,
+        Step.STOP_ACCEPTING,
+        Step.CLOSE_IDLE,
+        Step.FAIL_PENDING,
+        Step.REJECT_INCOMPLETE,
+        Step.ABORT_ALL,
+    ]
+    for step, due_s in ((Step.STOP_ACCEPTING, 0.7), (Step.FAIL_PENDING, 3.45), (Step.ABORT_ALL, 6.45)):
+        delay_s = recorder.times_s[step] - due_s
+        assert -CLOCK_TOLERANCE_S <= delay_s <= CHECK_INTERVAL_S + CLOCK_TOLERANCE_S
+
+
+@pytest.mark.parametrize(
+    ("pending_until_s", "open_until_s"),
+    [
+        pytest.param(1.5, 0.0, id="last-request"),
+        pytest.param(0.0, 1.5, id="last-connection"),
+        pytest.param(1.5, 1.5, id="both"),
+    ],
+)
+def test_shutdown_waits_no_longer_than_for_the_last_request_and_connection(
+    pending_until_s: float, open_until_s: float
+) -> None:
+    recorder = ShutdownRecorder(pending_until_s, open_until_s)
+    run_in_virtual_time(shut_down(recorder, recorder, BUDGET))
+    assert Step.REJECT_INCOMPLETE not in recorder.times_s
+    for step in (Step.FAIL_PENDING, Step.ABORT_ALL):
+        delay_s = recorder.times_s[step] - 1.5
+        assert -CLOCK_TOLERANCE_S <= delay_s <= CHECK_INTERVAL_S + CLOCK_TOLERANCE_S
+
+
+def test_shutdown_waits_for_responses_to_be_sent_after_it_has_failed_the_requests() -> None:
+    recorder = ShutdownRecorder(pending_until_s=HANGS_S, open_until_s=5.0)
+    run_in_virtual_time(shut_down(recorder, recorder, BUDGET))
+    assert recorder.times_s[Step.FAIL_PENDING] == pytest.approx(
+        3.45, abs=CHECK_INTERVAL_S + CLOCK_TOLERANCE_S
+    )
+    assert recorder.times_s[Step.REJECT_INCOMPLETE] == recorder.times_s[Step.FAIL_PENDING]
+    delay_s = recorder.times_s[Step.ABORT_ALL] - 5.0
+    assert -CLOCK_TOLERANCE_S <= delay_s <= CHECK_INTERVAL_S + CLOCK_TOLERANCE_S
+
+
+# ---- the real program ---------------------------------------------------------------------------
 
 
 async def status_of(reader: asyncio.StreamReader) -> int:
     return int((await read_message(reader))[0].split()[1])
 
 
-async def draining(rig: Rig) -> float:
-    """Sends SIGTERM and waits until it is obeyed; when it was sent."""
-    told = time.monotonic()
+async def start_shutdown(rig: Rig) -> float:
+    """Send SIGTERM and wait until the proxy drains; return when the signal was sent."""
+    sent_at_s = time.monotonic()
     rig.proxy.send_signal(signal.SIGTERM)
     while await rig.ready():
-        await asyncio.sleep(0.005)
-    return told
+        await asyncio.sleep(POLL_INTERVAL_S)
+    return sent_at_s
 
 
 @real
-@pytest.mark.parametrize("longest", [300.0, 2000.0, 20000.0])
-async def test_what_no_node_answers_is_answered_before_sigkill_may_come(longest: float) -> None:
-    """One taken before SIGTERM and one while the door is open, at a hung node, with time left beyond the
-    end; 3 s stand for a longer deadline."""
-    classes = [SETTINGS["classes"][1] | {"deadline_ms": longest}]
+@pytest.mark.parametrize("longest_deadline_ms", [300.0, 2000.0, 20000.0])
+async def test_responds_before_sigkill_may_come_where_the_endpoint_hangs(longest_deadline_ms: float) -> None:
+    """One request before SIGTERM and one while connections are still accepted, at an endpoint that hangs.
+
+    Both have time left beyond the end of the shutdown; a longer deadline counts as 3 s.
+    """
+    classes = [SETTINGS["classes"][1] | {"deadline_ms": longest_deadline_ms}]
+    counted_deadline_s = min(longest_deadline_ms, 3000.0) / 1000.0
     async with Rig(Party("s1", None), settings={"classes": classes}) as rig:
         before = await rig.connect(request("pay", 60000))
         while not rig.endpoints[0].got:
-            await asyncio.sleep(0.005)
-        told = await draining(rig)
+            await asyncio.sleep(POLL_INTERVAL_S)
+        sent_at_s = await start_shutdown(rig)
         within = await rig.connect(request("pay", 60000))
         for reader, _ in (before, within):
-            assert await status_of(reader) == 504  # it may have run: no refusal
-        took = time.monotonic() - told
-        assert took > DOOR_S + 0.5 * min(longest, 3000.0) / 1000.0  # not sooner than needed
-        assert took < DOOR_S + min(longest, 3000.0) / 1000.0 + 0.5  # and what a busy machine adds
+            assert await status_of(reader) == 504  # it may have run: no rejection
+        duration_s = time.monotonic() - sent_at_s
+        assert duration_s > ACCEPT_S + 0.5 * counted_deadline_s  # not sooner than needed
+        assert duration_s < ACCEPT_S + counted_deadline_s + 0.5  # and what a busy host adds
         assert await rig.proxy.wait() == 0
 
 
 @real
-async def test_who_stands_behind_the_door_as_it_closes_is_let_in_and_answered() -> None:
-    """The proxy is stopped until its door should have closed; meanwhile the system takes connections for it,
-    some with a whole request, some with half of one."""
+async def test_accepts_and_serves_what_waits_in_the_accept_queue_as_it_stops_accepting() -> None:
+    """The proxy is stopped until it should have stopped accepting.
+
+    Meanwhile the kernel accepts connections for it, some with a complete request, some with half of one.
+    """
     async with Rig(Party("s1"), Party("s2")) as rig:
-        told = await draining(rig)
+        sent_at_s = await start_shutdown(rig)
         rig.proxy.send_signal(signal.SIGSTOP)
-        whole = [await rig.connect(request("pay")) for _ in range(20)]
+        complete = [await rig.connect(request("pay")) for _ in range(20)]
         halves = [await rig.connect(request("pay")[:40]) for _ in range(5)]
-        await asyncio.sleep(told + DOOR_S + 0.1 - time.monotonic())
+        await asyncio.sleep(sent_at_s + ACCEPT_S + 0.1 - time.monotonic())
         rig.proxy.send_signal(signal.SIGCONT)
-        assert [await status_of(reader) for reader, _ in whole] == [200] * 20
+        assert [await status_of(reader) for reader, _ in complete] == [200] * 20
         for _, writer in halves:
-            writer.write(request("pay")[40:])  # its id is another one from there on, which is no matter
+            writer.write(
+                request("pay")[40:]
+            )  # of another request: only its id differs, which does not matter
         assert [await status_of(reader) for reader, _ in halves] == [200] * 5
         assert await rig.proxy.wait() == 0
 
 
 @real
-async def test_what_has_come_behind_a_request_is_answered_too_before_its_connection_ends() -> None:
+async def test_serves_pipelined_requests_before_their_connection_ends() -> None:
     release = asyncio.Event()
 
-    async def late(party: Party) -> bytes:
+    async def respond_when_released(party: Party) -> bytes:
         await release.wait()
         return b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
 
-    async with Rig(Party("s1", late)) as rig:
+    async with Rig(Party("s1", respond_when_released)) as rig:
         reader, _ = await rig.connect(request("pay") + request("pay") + request("look"))
         while not rig.endpoints[0].got:
-            await asyncio.sleep(0.005)
-        await draining(rig)
+            await asyncio.sleep(POLL_INTERVAL_S)
+        await start_shutdown(rig)
         release.set()
-        answers = [await read_message(reader) for _ in range(3)]
-        assert [a[0].split()[1] for a in answers] == [b"200"] * 3
-        assert [a[1].get("connection") for a in answers] == [None, None, "close"]
+        responses = [await read_message(reader) for _ in range(3)]
+        assert [status_line.split()[1] for status_line, _, _ in responses] == [b"200"] * 3
+        assert [headers.get("connection") for _, headers, _ in responses] == [None, None, "close"]
         assert await reader.read() == b""
         assert await rig.proxy.wait() == 0
 
 
 @real
-async def test_half_a_request_holds_the_ending_up_no_longer_than_its_last_moment() -> None:
+async def test_incomplete_request_does_not_delay_the_shutdown_beyond_its_deadline() -> None:
     async with Rig(Party("s1")) as rig:
-        told = await draining(rig)
+        sent_at_s = await start_shutdown(rig)
         reader, writer = await rig.connect(request("pay")[:40])
-        done = asyncio.create_task(reader.read())
-        while not done.done():
+        response = asyncio.create_task(reader.read())
+        while not response.done():
             if not writer.is_closing():
                 writer.write(b"x")
             await asyncio.sleep(0.1)
-        assert b"HTTP/1.1 408" in done.result()
+        assert b"HTTP/1.1 408" in response.result()
         assert await rig.proxy.wait() == 0
-        assert time.monotonic() - told < 10.0
+        assert time.monotonic() - sent_at_s < 10.0
 
 
 @real
-async def test_what_came_while_we_were_paused_is_looked_at_before_patience_ends_its_connection() -> None:
-    """Half a request was read; its rest comes while the proxy is stopped for longer than its patience."""
+async def test_reads_what_came_while_the_proxy_was_paused_before_the_idle_timeout_closes() -> None:
+    """Half a request was read; its rest comes while the proxy is stopped for longer than its idle timeout."""
     async with Rig(Party("s1")) as rig:
         sent = request("pay")
         reader, writer = await rig.connect(sent[:40])
