--- a/alderspool/__init__.py
+++ b/alderspool/__init__.py
@@ -1,3 +1,3 @@
-"""alderspool: a real load-balancing proxy on sockets, round the decisions of alderspool.balancer."""
+"""alderspool: a load-balancing proxy for HTTP; `alderspool.balancer` decides, the rest does the I/O."""
 
 __version__ = "0.1.0"
--- a/alderspool/__main__.py
+++ b/alderspool/__main__.py
@@ -3,9 +3,10 @@
 import signal
 import sys
 
-if sys.argv[1:2] == ["serve"]:  # until it can read its configuration anew, SIGHUP must not end it
+# SIGHUP asks `serve` to reload. Until it can, which takes the imports below, SIGHUP must not end the process.
+if sys.argv[1:2] == ["serve"]:
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
-from alderspool.program.cli import main  # noqa: E402
+from alderspool.program.cli import main
 
 main()
--- a/alderspool/program/__init__.py
+++ b/alderspool/program/__init__.py
@@ -1,1 +1,1 @@
-"""The program: configuration, wiring, signals and the command line."""
+"""The program: configuration, wiring, signals, graceful shutdown and the command line."""
--- a/alderspool/program/app.py
+++ b/alderspool/program/app.py
@@ -1,4 +1,7 @@
-"""Wires the parts together, and takes them down in order."""
+"""The running proxy: wires its parts together, handles signals, and shuts down.
+
+How the shutdown proceeds is in `program/graceful_shutdown`, what the configuration holds in `program/config`.
+"""
 
 from __future__ import annotations
 
@@ -10,9 +13,10 @@
 
 from loguru import logger
 
-from alderspool.program.config import Config, ConfigError, load
+from alderspool.program.config import Config, EnvironmentVariable, load_for_reload
+from alderspool.program.errors import ConfigError
 from alderspool.program.graceful_shutdown import ShutdownBudget, shut_down
-from alderspool.program.signals import EarlySignals
+from alderspool.program.signals import EarlySignals, SignalAction
 from alderspool.protocol.downstream import RequestReader
 from alderspool.routing.clock import Clock
 from alderspool.routing.exchange import Exchange
@@ -21,68 +25,106 @@
 from alderspool.transport.listener import Listener
 from alderspool.transport.upstream_pool import UpstreamPool
 
-# Where lists are pushed, what the agent beside us has counts as told from our first moment: nobody is let in
-# before it has answered, unless it is silent for so long.
-AGENT_S = 2.0
-# What lives from the start is set aside, so that a collection looks at what is open now and takes a
-# millisecond or two. asyncio's transports and httptools' parsers are cycles: without frequent
-# collections each connection that ever was would stay in memory for minutes.
-GC_THRESHOLDS = (5_000, 5, 5)
+# Where an agent on this host pushes the endpoint list, whatever the agent holds counts as notified from the
+# first moment of this process. So no connection is accepted before the agent has delivered its list, or has
+# been silent for this long.
+FIRST_LIST_TIMEOUT_S = 2.0
+# The upstream side may use all descriptors that the downstream side leaves free.
+UPSTREAM_SHARE = 1.0
+# asyncio's transports and httptools' parsers are reference cycles: without frequent collections, each closed
+# connection would stay in memory for minutes. What lives from the start is frozen, so that a collection
+# examines only what is open now, and takes a millisecond or two.
+GC_THRESHOLD_GENERATION_0 = 5_000
+GC_THRESHOLD_GENERATION_1 = 5
+GC_THRESHOLD_GENERATION_2 = 5
 
 
-async def serve(config: Config, early: EarlySignals | None = None) -> None:
-    """Serves until SIGTERM or SIGINT, then finishes what was taken. `early`: signals that came meanwhile."""
-    loop = asyncio.get_running_loop()
-    stop = asyncio.Event()
+async def serve(config: Config, early_signals: EarlySignals | None = None) -> None:
+    """Serve until SIGTERM or SIGINT, then shut down gracefully.
+
+    `early_signals` are those that arrived while the program was loading. If one of them asks for the end, no
+    connection is accepted. Raises ConfigError where the address to listen at cannot be bound.
+    """
+    stop_requested = asyncio.Event()
     exchange = Exchange(config.settings, config.seed, Clock())
     budget = DescriptorBudget.of(config.limits.sockets)
-    pool = UpstreamPool(exchange, config.settings, budget.allot(1.0))
+    pool = UpstreamPool(exchange, config.settings, budget.allot(UPSTREAM_SHARE))
     discovery = DiscoveryClient(
         config.discovery, exchange, config.settings, config.known.revision, config.seed
     )
-    obey = {
-        signal.SIGHUP: partial(_reload, config, discovery),
-        signal.SIGTERM: stop.set,
-        signal.SIGINT: stop.set,
-    }
-    for number, act in obey.items():
-        loop.add_signal_handler(number, act)
-    if early is not None:
-        early.hand_over(obey)
+    _handle_signals(
+        {
+            signal.SIGHUP: partial(_reload, config, discovery),
+            signal.SIGTERM: stop_requested.set,
+            signal.SIGINT: stop_requested.set,
+        },
+        early_signals,
+    )
     listener = Listener(exchange, RequestReader(config.settings), budget.allot(DOWNSTREAM_SHARE))
-    try:
-        listener.bind(*config.listen)
-    except OSError as fault:
-        raise ConfigError(f"BALANCER_LISTEN: cannot listen there: {fault.strerror}") from None
+    _bind(listener, config)
     exchange.start(pool, discovery, config.known)
-    if not config.settings.list_on_request and not await discovery.wait_for_list(AGENT_S):
-        logger.warning("no list from the agent at the start: what was known last holds")
-    if not stop.is_set():  # told to end before it could begin: nobody is let in
+    if not config.settings.list_on_request and not await discovery.wait_for_list(FIRST_LIST_TIMEOUT_S):
+        logger.warning("no endpoint list from the agent yet: starting with the last known one")
+    if not stop_requested.is_set():
         listener.start_accepting()
         logger.info(
-            "{} serves at {}:{}; {} machines known", config.name, *config.listen, len(config.known.endpoints)
+            "{} listens at {}:{}; {} endpoints known",
+            config.name,
+            config.listen.host,
+            config.listen.port,
+            len(config.known.endpoints),
         )
-        gc.collect()
-        gc.freeze()
-        gc.set_threshold(*GC_THRESHOLDS)
-        await stop.wait()
-        logger.info("{} drains; {} requests owed", config.name, exchange.pending_count)
+        _set_up_garbage_collection()
+        await stop_requested.wait()
+        logger.info("{} is draining; {} requests pending", config.name, exchange.pending_count)
         await shut_down(exchange, listener, ShutdownBudget.from_settings(config.settings))
-    logger.info("{} ends; {}", config.name, exchange.counts)
+    logger.info("{} stopped; {}", config.name, exchange.counts)
 
 
-def _reload(config: Config, discovery: DiscoveryClient) -> None:
-    """Takes over where the list comes from now. All that is taken, learned and open stays as it is."""
+def run(config: Config, early_signals: EarlySignals | None = None) -> None:
+    """Run `serve` in an event loop of its own."""
+    asyncio.run(serve(config, early_signals))
+
+
+def _handle_signals(actions: dict[signal.Signals, SignalAction], early_signals: EarlySignals | None) -> None:
+    """Let the event loop handle the signals from now on, and handle those that arrived before."""
+    loop = asyncio.get_running_loop()
+    for number, action in actions.items():
+        loop.add_signal_handler(number, action)
+    if early_signals is not None:
+        early_signals.replay(actions)
+
+
+def _bind(listener: Listener, config: Config) -> None:
     try:
-        fresh = load(os.environ, anew=True)
-    except ConfigError as fault:  # a file that is half written, or wrong, must not end the service
-        logger.error("configuration not taken over, the old one holds: {}", fault)
-        return
-    discovery.move_to(fresh.discovery)
-    logger.info("{} has its list from {}:{} now", config.name, *fresh.discovery)
-    if (fresh.settings, fresh.limits) != (config.settings, config.limits):
-        logger.warning("settings or limits have changed too: they take a restart")
+        listener.bind(config.listen.host, config.listen.port)
+    except OSError as error:
+        raise ConfigError(EnvironmentVariable.LISTEN, f"cannot listen there: {error.strerror}") from error
+
 
+def _set_up_garbage_collection() -> None:
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(GC_THRESHOLD_GENERATION_0, GC_THRESHOLD_GENERATION_1, GC_THRESHOLD_GENERATION_2)
 
-def run(config: Config, early: EarlySignals | None = None) -> None:
-    asyncio.run(serve(config, early))
+
+def _reload(config: Config, discovery: DiscoveryClient) -> None:
+    """Move to the discovery address that the configuration states now.
+
+    Requests, connections and what was learned stay as they are. A file that is incomplete or unusable must
+    not end the service: it is logged, and the configuration in force stays.
+    """
+    try:
+        new_config = load_for_reload(os.environ)
+    except ConfigError as error:
+        logger.error("reload failed, the configuration in force stays: {}", error)
+        return
+    discovery.move_to(new_config.discovery)
+    logger.info(
+        "{} uses discovery at {}:{} now",
+        config.name,
+        new_config.discovery.host,
+        new_config.discovery.port,
+    )
+    if new_config.settings != config.settings or new_config.limits != config.limits:
+        logger.warning("settings or limits have changed too: these need a restart")
--- a/alderspool/program/cli.py
+++ b/alderspool/program/cli.py
@@ -1,81 +1,111 @@
-"""The command line."""
+"""The command line: `serve`, `check-config`, `version` and the commands of the lab.
+
+The large modules are imported by the commands that need them, not here: `serve` has to record signals before
+it loads the proxy, and the lab's libraries need not be installed for it.
+"""
 
 from __future__ import annotations
 
 import importlib
 import os
 import sys
+from dataclasses import dataclass
+from typing import IO, TYPE_CHECKING, Any, ClassVar
 
 import click
 from loguru import logger
 
 from alderspool import __version__
+from alderspool.program.errors import ConfigError
+from alderspool.program.signals import EarlySignals
+
+if TYPE_CHECKING:
+    from alderspool.program.config import Config
 
-LEVELS = ("TRACE", "DEBUG", "INFO", "WARNING", "ERROR")
-LINE = "{time:YYYY-MM-DD HH:mm:ss.SSS} {level: <7} {message}"
+LOG_LEVELS = ("TRACE", "DEBUG", "INFO", "WARNING", "ERROR")
+LOG_FORMAT = "{time:YYYY-MM-DD HH:mm:ss.SSS} {level: <7} {message}"
+UNUSABLE_EXIT_CODE = 2
 
 
-class Unusable(click.ClickException):
-    """Unusable configuration: one line, exit code 2."""
+class CannotStart(click.ClickException):
+    """The configuration is unusable or a library is missing: one line on standard error, exit code 2."""
 
-    exit_code = 2
+    exit_code = UNUSABLE_EXIT_CODE
 
-    def show(self, file=None) -> None:
+    def show(self, file: IO[Any] | None = None) -> None:
+        """Print the message as one line, also where it holds line breaks."""
         click.echo(f"alderspool: {' '.join(self.message.split())}", err=True)
 
 
-def _load():
-    from alderspool.program.config import ConfigError, load
+def _load_config() -> Config:
+    from alderspool.program.config import load  # noqa: PLC0415 - see the head of this file
 
     try:
         return load(os.environ)
-    except ConfigError as fault:
-        raise Unusable(str(fault)) from None
+    except ConfigError as error:
+        raise CannotStart(str(error)) from error
+
+
+@dataclass(frozen=True, slots=True)
+class LazyCommand:
+    """A command that is imported when it is used."""
 
+    module: str
+    attribute: str
+    requirements_file: str
 
-class Groups(click.Group):
-    """Commands of other parts by name, loaded when one is used: `serve` imports none of them."""
 
-    PARTS = {"lab": ("alderspool.lab.cli", "lab", "requirements-lab.txt")}
+class LazyGroup(click.Group):
+    """A group of commands, some of which are imported only when they are used."""
+
+    LAZY_COMMANDS: ClassVar[dict[str, LazyCommand]] = {
+        "lab": LazyCommand("alderspool.lab.cli", "lab", "requirements-lab.txt"),
+    }
 
     def list_commands(self, ctx: click.Context) -> list[str]:
-        return sorted([*super().list_commands(ctx), *self.PARTS])
+        """Return the names of all commands, sorted, without importing any."""
+        return sorted([*super().list_commands(ctx), *self.LAZY_COMMANDS])
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        """Return the command of this name, imported if need be; None: there is none.
 
-    def get_command(self, ctx: click.Context, name: str) -> click.Command | None:
-        if name not in self.PARTS:
-            return super().get_command(ctx, name)
-        module, command, needs = self.PARTS[name]
+        Raises CannotStart where a library that the command needs is not installed.
+        """
+        lazy_command = self.LAZY_COMMANDS.get(cmd_name)
+        if lazy_command is None:
+            return super().get_command(ctx, cmd_name)
         try:
-            return getattr(importlib.import_module(module), command)
-        except ModuleNotFoundError as fault:
-            raise Unusable(f"{name} needs {fault.name}: pip install -r {needs}") from None
+            module = importlib.import_module(lazy_command.module)
+        except ModuleNotFoundError as error:
+            raise CannotStart(
+                f"{cmd_name} needs {error.name}: pip install -r {lazy_command.requirements_file}"
+            ) from error
+        command: click.Command = getattr(module, lazy_command.attribute)
+        return command
 
 
-@click.group(cls=Groups)
+@click.group(cls=LazyGroup)
 def main() -> None:
-    """A load-balancing proxy for HTTP fleets.
+    """Run or inspect a load-balancing proxy for HTTP fleets.
 
-    It is told what to do by BALANCER_CONFIG, BALANCER_LISTEN, BALANCER_DISCOVERY and BALANCER_NAME.
+    It is configured by BALANCER_CONFIG, BALANCER_LISTEN, BALANCER_DISCOVERY and BALANCER_NAME.
     """
 
 
 @main.command()
-@click.option("--log-level", type=click.Choice(LEVELS), default="INFO", show_default=True)
+@click.option("--log-level", type=click.Choice(LOG_LEVELS), default="INFO", show_default=True)
 def serve(log_level: str) -> None:
-    """Serve until SIGTERM, then finish what was taken."""
-    from alderspool.program.signals import EarlySignals
-
-    early = EarlySignals()
+    """Serve until SIGTERM, then finish the pending requests."""
+    early_signals = EarlySignals()
     logger.remove()
-    logger.add(sys.stderr, level=log_level, format=LINE, backtrace=False, diagnose=False)
-    config = _load()
-    from alderspool.program.app import run
-    from alderspool.program.config import ConfigError
+    logger.add(sys.stderr, level=log_level, format=LOG_FORMAT, backtrace=False, diagnose=False)
+    config = _load_config()
+    from alderspool.program.app import run  # noqa: PLC0415 - see the head of this file
 
     try:
-        run(config, early)
-    except ConfigError as fault:
-        raise Unusable(str(fault)) from None
+        run(config, early_signals)
+    except ConfigError as error:
+        raise CannotStart(str(error)) from error
 
 
 @main.command()
@@ -86,11 +116,12 @@
 
 @main.command("check-config")
 def check_config() -> None:
-    """Read the configuration as `serve` does, and say what it holds."""
-    config = _load()
+    """Read the configuration as `serve` does, and print what it holds."""
+    config = _load_config()
+    # The text of this line is fixed: the endpoints are called machines here, and only here.
     click.echo(
-        f"{config.name}: listens at {config.listen[0]}:{config.listen[1]},"
-        f" discovery at {config.discovery[0]}:{config.discovery[1]},"
+        f"{config.name}: listens at {config.listen.host}:{config.listen.port},"
+        f" discovery at {config.discovery.host}:{config.discovery.port},"
         f" {len(config.settings.classes)} classes, {len(config.settings.tenants)} tenants,"
         f" {len(config.known.endpoints)} machines known, {config.limits.sockets} sockets"
     )
--- a/alderspool/program/config.py
+++ b/alderspool/program/config.py
@@ -1,122 +1,181 @@
-"""What the proxy is told: environment and configuration file, checked once at the start."""
+"""The configuration: environment variables and the configuration file, checked completely when read.
+
+The keys of the file, other than those under `settings`, are the fields of the `...Doc` types here; the keys
+under `settings` are mapped in `balancer/settings_reader`.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Mapping
 from dataclasses import dataclass
+from enum import Enum, StrEnum
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 import msgspec
 
 from alderspool.balancer.settings import Settings, SettingsError
 from alderspool.balancer.settings_reader import read_settings
+from alderspool.program.errors import ConfigError
+from alderspool.program.flattening import flatten
 from alderspool.protocol.endpoint_list import (
     EndpointListDoc,
     EndpointListError,
-    as_setting,
     parse_address,
     to_endpoint_list,
 )
 from alderspool.routing.messages import EndpointList
 
+__all__ = ["Address", "Config", "ConfigError", "LimitsDoc", "flatten", "load", "load_for_reload"]
+
+MIN_SOCKETS = 64
+SEED_BASE = 16
+
+
+class EnvironmentVariable(StrEnum):
+    """The environment variables that the program reads."""
+
+    CONFIG = "BALANCER_CONFIG"
+    NAME = "BALANCER_NAME"
+    LISTEN = "BALANCER_LISTEN"
+    DISCOVERY = "BALANCER_DISCOVERY"
 
-class ConfigError(ValueError):
-    """The configuration is unusable; the text names the key."""
 
+class Address(NamedTuple):
+    """A literal IP address and a port."""
+
+    host: str
+    port: int
+
+
+class LimitsDoc(msgspec.Struct, frozen=True):
+    """What the process may use."""
 
-class LimitsDoc(msgspec.Struct):
     cores: float = 1.0
     memory_mb: float = 192.0
     sockets: int = 1024
 
 
-class ConfigDoc(msgspec.Struct):
+def _empty_endpoint_list() -> EndpointListDoc:
+    return EndpointListDoc(index=0, snapshot=True, endpoints=[])
+
+
+class ConfigDoc(msgspec.Struct, frozen=True):
+    """The configuration file as it stands; `known` is the last known endpoint list."""
+
     settings: dict[str, Any]
     seed: str
     name: str = ""
     listen: str = ""
     discovery: str = ""
     limits: LimitsDoc = msgspec.field(default_factory=LimitsDoc)
-    known: EndpointListDoc = msgspec.field(default_factory=lambda: EndpointListDoc(0, True, []))
+    known: EndpointListDoc = msgspec.field(default_factory=_empty_endpoint_list)
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class Config:
+    """The configuration of one proxy, checked."""
+
     name: str
-    listen: tuple[str, int]
-    discovery: tuple[str, int]
+    listen: Address
+    discovery: Address
     seed: int
     limits: LimitsDoc
     known: EndpointList
     settings: Settings
 
 
-def flatten(value: Any, path: str = "") -> dict[str, str]:
-    """Nested JSON as the wire's path=value pairs."""
-    if isinstance(value, dict):
-        pairs = {}
-        for key, inner in value.items():
-            pairs.update(flatten(inner, f"{path}.{key}" if path else key))
-        return pairs
-    if isinstance(value, list):
-        if any(isinstance(item, dict) for item in value):
-            pairs = {f"{path}.count": str(len(value))}
-            for i, item in enumerate(value):
-                pairs.update(flatten(item, f"{path}.{i}"))
-            return pairs
-        return {path: ",".join(_plain(item) for item in value)}
-    return {path: _plain(value)}
-
-
-def _plain(value: Any) -> str:
-    if isinstance(value, bool):
-        return "true" if value else "false"
-    return "" if value is None else as_setting(str(value))
-
-
-def load(environ: Mapping[str, str], anew: bool = False) -> Config:
-    """Reads the configuration. At a start the environment comes before the file; where the file is read
-    anew, what it says of discovery is the news, and the environment is as it was at the start."""
-    path = environ.get("BALANCER_CONFIG")
+class _DiscoveryPrecedence(Enum):
+    """Which discovery address counts where both the environment and the file state one."""
+
+    ENVIRONMENT = "environment"
+    FILE = "file"
+
+
+def load(environ: Mapping[str, str]) -> Config:
+    """Read the configuration at the start; environment variables take precedence over the file.
+
+    Raises ConfigError.
+    """
+    return _load(environ, _DiscoveryPrecedence.ENVIRONMENT)
+
+
+def load_for_reload(environ: Mapping[str, str]) -> Config:
+    """Read the configuration again; for the discovery address the file takes precedence.
+
+    The file is what may have changed: the environment of the process is as it was at the start. Raises
+    ConfigError.
+    """
+    return _load(environ, _DiscoveryPrecedence.FILE)
+
+
+def _load(environ: Mapping[str, str], precedence: _DiscoveryPrecedence) -> Config:
+    doc = _read_file(environ)
+    settings = _read_settings(doc)
+    return Config(
+        known=_read_known_endpoints(doc, settings),
+        limits=_check_limits(doc.limits),
+        seed=_parse_seed(doc.seed),
+        name=environ.get(EnvironmentVariable.NAME) or doc.name,
+        listen=_parse_address(
+            EnvironmentVariable.LISTEN, environ.get(EnvironmentVariable.LISTEN) or doc.listen
+        ),
+        discovery=_parse_address(EnvironmentVariable.DISCOVERY, _choose_discovery(environ, doc, precedence)),
+        settings=settings,
+    )
+
+
+def _read_file(environ: Mapping[str, str]) -> ConfigDoc:
+    path = environ.get(EnvironmentVariable.CONFIG)
     if not path:
-        raise ConfigError("BALANCER_CONFIG: not set")
+        raise ConfigError(EnvironmentVariable.CONFIG, "not set")
     try:
-        raw = Path(path).read_bytes()
-    except OSError as fault:
-        raise ConfigError(f"BALANCER_CONFIG: {fault.strerror}: {path}") from None
+        content = Path(path).read_bytes()
+    except OSError as error:
+        raise ConfigError(EnvironmentVariable.CONFIG, f"{error.strerror}: {path}") from error
     try:
-        doc = msgspec.json.decode(raw, type=ConfigDoc)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as fault:
-        raise ConfigError(f"BALANCER_CONFIG: {fault}") from None
+        return msgspec.json.decode(content, type=ConfigDoc)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise ConfigError(EnvironmentVariable.CONFIG, str(error)) from error
+
+
+def _read_settings(doc: ConfigDoc) -> Settings:
     try:
-        settings = read_settings(flatten(doc.settings))
-    except SettingsError as fault:
-        raise ConfigError(f"settings.{fault}") from None
+        return read_settings(flatten(doc.settings))
+    except SettingsError as error:
+        key, _, problem = str(error).partition(": ")
+        raise ConfigError(f"settings.{key}", problem) from error
+
+
+def _read_known_endpoints(doc: ConfigDoc, settings: Settings) -> EndpointList:
     try:
-        known = to_endpoint_list(doc.known, settings)
-    except EndpointListError as fault:
-        raise ConfigError(f"known: {fault}") from None
-    if doc.limits.sockets < 64:
-        raise ConfigError(f"limits.sockets: under 64: {doc.limits.sockets}")
+        return to_endpoint_list(doc.known, settings)
+    except EndpointListError as error:
+        raise ConfigError("known", str(error)) from error
+
+
+def _check_limits(limits: LimitsDoc) -> LimitsDoc:
+    if limits.sockets < MIN_SOCKETS:
+        raise ConfigError("limits.sockets", f"under {MIN_SOCKETS}: {limits.sockets}")
+    return limits
+
+
+def _parse_seed(text: str) -> int:
     try:
-        seed = int(doc.seed, 16)
-    except ValueError:
-        raise ConfigError(f"seed: not hexadecimal: {doc.seed!r}") from None
-    given = (environ.get("BALANCER_DISCOVERY"), doc.discovery)
-    return Config(
-        name=environ.get("BALANCER_NAME") or doc.name,
-        listen=_address("BALANCER_LISTEN", environ.get("BALANCER_LISTEN") or doc.listen),
-        discovery=_address("BALANCER_DISCOVERY", given[anew] or given[not anew] or ""),
-        seed=seed,
-        limits=doc.limits,
-        known=known,
-        settings=settings,
-    )
+        return int(text, SEED_BASE)
+    except ValueError as error:
+        raise ConfigError("seed", f"not hexadecimal: {text!r}") from error
+
+
+def _choose_discovery(environ: Mapping[str, str], doc: ConfigDoc, precedence: _DiscoveryPrecedence) -> str:
+    from_environment = environ.get(EnvironmentVariable.DISCOVERY, "")
+    if precedence is _DiscoveryPrecedence.FILE:
+        return doc.discovery or from_environment
+    return from_environment or doc.discovery
 
 
-def _address(key: str, text: str) -> tuple[str, int]:
+def _parse_address(place: str, text: str) -> Address:
     try:
-        return parse_address(text)
-    except EndpointListError as fault:
-        raise ConfigError(f"{key}: {fault}") from None
+        return Address(*parse_address(text))
+    except EndpointListError as error:
+        raise ConfigError(place, str(error)) from error
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -1,4 +1,4 @@
-"""Configuration and command line: what is unusable is named in one line."""
+"""Configuration and command line: an unusable configuration is reported in one line that names its key."""
 
 from __future__ import annotations
 
@@ -14,7 +14,9 @@
 from rig import SETTINGS
 
 from alderspool.program.cli import main
-from alderspool.program.config import ConfigError, flatten, load
+from alderspool.program.config import Address, load, load_for_reload
+from alderspool.program.errors import ConfigError
+from alderspool.program.flattening import flatten
 
 DOC = {
     "name": "n1",
@@ -23,14 +25,16 @@
     "seed": "8c1f30d27a5be964",
     "settings": SETTINGS,
 }
+ENDPOINT = {"name": "s1", "address": "127.0.0.1:80", "status": "ready"}
 
 
 def environ(tmp_path: Path, text: str) -> dict[str, str]:
+    """Return the environment of a proxy whose configuration file has this text."""
     (tmp_path / "config.json").write_bytes(text.encode(errors="surrogateescape"))
     return {"BALANCER_CONFIG": str(tmp_path / "config.json")}
 
 
-def test_settings_are_flattened_as_the_wire_writes_them() -> None:
+def test_flattens_settings_as_the_wire_writes_them() -> None:
     nested = {
         "a": {"b": True, "c": 1000.0, "d": None},
         "list": ["x y", "p,q"],
@@ -50,70 +54,120 @@
     }
 
 
-def test_the_environment_comes_before_the_file(tmp_path: Path) -> None:
-    told = environ(tmp_path, json.dumps(DOC)) | {"BALANCER_LISTEN": "127.0.0.9:99", "BALANCER_NAME": "n7"}
-    config = load(told)
-    assert (config.name, config.listen, config.discovery) == ("n7", ("127.0.0.9", 99), ("127.0.0.2", 8500))
-    assert config.seed == 0x8C1F30D27A5BE964 and config.limits.sockets == 1024
+def test_environment_takes_precedence_over_the_file(tmp_path: Path) -> None:
+    variables = environ(tmp_path, json.dumps(DOC))
+    variables |= {"BALANCER_LISTEN": "127.0.0.9:99", "BALANCER_NAME": "n7"}
+    config = load(variables)
+    assert config.name == "n7"
+    assert config.listen == Address("127.0.0.9", 99)
+    assert config.discovery == Address("127.0.0.2", 8500)
+    assert config.seed == 0x8C1F30D27A5BE964
+    assert config.limits.sockets == 1024
     assert [c.name for c in config.settings.classes] == ["look", "pay", "put"]
 
 
-def test_read_anew_the_file_says_where_discovery_is(tmp_path: Path) -> None:
-    told = environ(tmp_path, json.dumps(DOC)) | {"BALANCER_DISCOVERY": "127.0.0.7:7"}
-    assert load(told).discovery == ("127.0.0.7", 7)
-    assert load(told, anew=True).discovery == ("127.0.0.2", 8500)
-    told |= environ(tmp_path, json.dumps(DOC | {"discovery": ""}))
-    assert load(told, anew=True).discovery == ("127.0.0.7", 7)
-
-
-BAD = [
-    ("{", "BALANCER_CONFIG"),
-    ("[]", "BALANCER_CONFIG"),
-    (json.dumps(DOC | {"seed": 5}), "seed"),
-    (json.dumps(DOC | {"seed": "xyz"}), "seed"),
-    (json.dumps(DOC | {"listen": "nowhere"}), "BALANCER_LISTEN"),
-    ("\udcff", "BALANCER_CONFIG"),
-    (json.dumps(DOC | {"discovery": "10.0.0.1:0"}), "BALANCER_DISCOVERY"),
-    (json.dumps(DOC | {"limits": {"sockets": "many"}}), "limits.sockets"),
-    (json.dumps(DOC | {"limits": {"sockets": 3}}), "limits.sockets"),
-    (json.dumps(DOC | {"known": {"index": 1}}), "known"),
-    (json.dumps(DOC | {"settings": SETTINGS | {"zone": "left"}}), "zone"),
-    (json.dumps(DOC | {"settings": {"classes": [{"name": "x"}]}}), "classes.0.slo_ms"),
-    (json.dumps({k: v for k, v in DOC.items() if k != "settings"}), "settings"),
+def test_discovery_address_of_the_file_takes_precedence_on_reload(tmp_path: Path) -> None:
+    variables = environ(tmp_path, json.dumps(DOC)) | {"BALANCER_DISCOVERY": "127.0.0.7:7"}
+    assert load(variables).discovery == ("127.0.0.7", 7)
+    assert load_for_reload(variables).discovery == ("127.0.0.2", 8500)
+    variables |= environ(tmp_path, json.dumps(DOC | {"discovery": ""}))
+    assert load_for_reload(variables).discovery == ("127.0.0.7", 7)
+
+
+def changed(**keys: object) -> str:
+    """Return the text of a configuration file in which these keys differ."""
+    return json.dumps(DOC | keys)
+
+
+UNUSABLE_FILES = [
+    pytest.param("{", "BALANCER_CONFIG", id="incomplete"),
+    pytest.param("[]", "BALANCER_CONFIG", id="no-object"),
+    pytest.param(changed(seed=5), "seed", id="seed-a-number"),
+    pytest.param(changed(seed="xyz"), "seed", id="seed-not-hexadecimal"),
+    pytest.param(changed(listen="nowhere"), "BALANCER_LISTEN", id="listen-no-address"),
+    pytest.param("\udcff", "BALANCER_CONFIG", id="not-utf-8"),
+    pytest.param(changed(discovery="10.0.0.1:0"), "BALANCER_DISCOVERY", id="discovery-port-0"),
+    pytest.param(changed(limits={"sockets": "many"}), "limits.sockets", id="sockets-a-text"),
+    pytest.param(changed(limits={"sockets": 3}), "limits.sockets", id="sockets-too-few"),
+    pytest.param(changed(known={"index": 1}), "known", id="known-incomplete"),
+    pytest.param(changed(settings=SETTINGS | {"zone": "left"}), "zone", id="zone-not-a-number"),
+    pytest.param(changed(settings={"classes": [{"name": "x"}]}), "classes.0.slo_ms", id="class-without-slo"),
+    pytest.param(
+        json.dumps({key: value for key, value in DOC.items() if key != "settings"}),
+        "settings",
+        id="no-settings",
+    ),
 ]
 
 
-@pytest.mark.parametrize(("text", "key"), BAD)
-def test_bad_configuration_is_one_line_that_names_the_key(tmp_path: Path, text: str, key: str) -> None:
-    told = environ(tmp_path, text)
+@pytest.mark.parametrize(("text", "key"), UNUSABLE_FILES)
+def test_reports_unusable_configuration_in_one_line_with_its_key(tmp_path: Path, text: str, key: str) -> None:
+    variables = environ(tmp_path, text)
     with pytest.raises(ConfigError, match=key):
-        load(told)
+        load(variables)
     for command in ("serve", "check-config"):
-        result = CliRunner(env=told).invoke(main, [command])
+        result = CliRunner(env=variables).invoke(main, [command])
         assert result.exit_code == 2
         (line,) = result.stderr.splitlines()
         assert key in line
 
 
-def test_an_environment_without_configuration(tmp_path: Path) -> None:
-    for told in ({}, {"BALANCER_CONFIG": str(tmp_path / "none")}):
+@pytest.mark.parametrize(
+    ("text", "place", "problem"),
+    [
+        pytest.param(changed(seed="xyz"), "seed", "not hexadecimal: 'xyz'", id="seed"),
+        pytest.param(changed(limits={"sockets": 3}), "limits.sockets", "under 64: 3", id="limits"),
+        pytest.param(
+            changed(settings=SETTINGS | {"zone": "left"}),
+            "settings.zone",
+            "not a number: 'left'",
+            id="settings",
+        ),
+    ],
+)
+def test_error_message_is_place_and_problem(tmp_path: Path, text: str, place: str, problem: str) -> None:
+    with pytest.raises(ConfigError) as caught:
+        load(environ(tmp_path, text))
+    assert (caught.value.place, caught.value.problem) == (place, problem)
+    assert str(caught.value) == f"{place}: {problem}"
+
+
+def test_rejects_environment_without_configuration(tmp_path: Path) -> None:
+    for variables in ({}, {"BALANCER_CONFIG": str(tmp_path / "none")}):
         with pytest.raises(ConfigError, match="BALANCER_CONFIG"):
-            load(told)
+            load(variables)
 
 
-def test_the_commands_that_only_tell(tmp_path: Path) -> None:
-    told = environ(tmp_path, json.dumps(DOC))
+def test_prints_version_and_configuration(tmp_path: Path) -> None:
+    variables = environ(tmp_path, json.dumps(DOC))
     assert CliRunner().invoke(main, ["version"]).output.startswith("alderspool ")
-    result = CliRunner(env=told).invoke(main, ["check-config"])
-    assert result.exit_code == 0 and "127.0.0.1:3000" in result.output
+    result = CliRunner(env=variables).invoke(main, ["check-config"])
+    assert result.exit_code == 0
+    assert "127.0.0.1:3000" in result.output
 
 
-def test_an_address_that_cannot_be_had_is_named(tmp_path: Path) -> None:
+def test_check_config_prints_its_fixed_line(tmp_path: Path) -> None:
+    known = {"index": 1, "snapshot": True, "endpoints": [ENDPOINT]}
+    variables = environ(tmp_path, changed(known=known))
+    result = CliRunner(env=variables).invoke(main, ["check-config"])
+    assert result.output == (
+        "n1: listens at 127.0.0.1:3000, discovery at 127.0.0.2:8500,"
+        " 3 classes, 1 tenants, 1 machines known, 1024 sockets\n"
+    )
+
+
+def test_names_an_address_that_cannot_be_bound(tmp_path: Path) -> None:
     with socket.create_server(("127.0.0.1", 0)) as taken:
         listen = f"127.0.0.1:{taken.getsockname()[1]}"
-        told = environ(tmp_path, json.dumps(DOC | {"listen": listen, "discovery": "127.0.0.1:9"}))
-        command = [sys.executable, "-m", "alderspool", "serve"]
-        done = subprocess.run(command, env=os.environ | told, capture_output=True, text=True, timeout=30)
+        variables = environ(tmp_path, changed(listen=listen, discovery="127.0.0.1:9"))
+        done = subprocess.run(
+            [sys.executable, "-m", "alderspool", "serve"],
+            check=False,
+            env=os.environ | variables,
+            capture_output=True,
+            text=True,
+            timeout=30,
+        )
     assert done.returncode == 2
     (line,) = done.stderr.splitlines()
     assert "BALANCER_LISTEN" in line
--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -1,4 +1,4 @@
-"""The README's example runs as printed."""
+"""The README's example runs, and prints what the README states."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 
-def test_the_example_does_what_its_comment_says(capsys) -> None:
+def test_example_prints_what_its_comment_states(capsys) -> None:
     text = (Path(__file__).parent.parent / "README.md").read_text()
     (code,) = re.findall(r"```python\n(.*?)```", text, re.S)
     exec(compile(code, "README.md", "exec"), {})
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -1,4 +1,4 @@
-"""Signals at any moment, repeated and in any order: none ends the program but in peace, none is missed."""
+"""Signals at any moment, repeated and in any order: none ends the program abnormally, none is lost."""
 
 from __future__ import annotations
 
@@ -15,106 +15,122 @@
 
 from alderspool.program.app import run
 from alderspool.program.config import load
-from alderspool.program.signals import NUMBERS, EarlySignals
+from alderspool.program.signals import HANDLED_SIGNALS, EarlySignals
 from alderspool.transport.listener import Listener
 
+POLL_INTERVAL_S = 0.005
 
-def moved_to(rig: Rig, place: Party) -> str:
-    return json.dumps(rig.config | {"discovery": f"127.0.0.1:{place.port}"})
+
+def config_with_discovery_at(rig: Rig, discovery: Party) -> str:
+    """Return the text of the rig's configuration file, with another discovery."""
+    return json.dumps(rig.config | {"discovery": f"127.0.0.1:{discovery.port}"})
 
 
 @real
-async def test_sighup_while_loading_is_no_crash_and_the_news_is_not_missed() -> None:
-    """From the first moment of the program until it serves, one every few ms; with the first the new file
-    is there, and whether it was read before or after, in the end it holds."""
-    new = Party("discovery-2", None)
-    await new.start()
+async def test_sighup_while_loading_neither_ends_the_program_nor_is_lost() -> None:
+    """SIGHUP comes every few ms from the first moment of the program until it serves.
+
+    With the first of them the new file is there. Whether the program read its file before or after that, in
+    the end it uses the new discovery.
+    """
+    new_discovery = Party("discovery-2", None)
+    await new_discovery.start()
     async with Rig(Party("s1"), await_ready=False) as rig:
         await rig.loading()
-        rig.reload(moved_to(rig, new))
+        rig.reload(config_with_discovery_at(rig, new_discovery))
         while await rig.ready() is None:
             rig.proxy.send_signal(signal.SIGHUP)
-            await asyncio.sleep(0.005)
-        while not new.got:
-            await asyncio.sleep(0.005)
-        assert (await rig.ask())[0] == 200 and rig.proxy.returncode is None
-    new.server.close()
+            await asyncio.sleep(POLL_INTERVAL_S)
+        while not new_discovery.got:
+            await asyncio.sleep(POLL_INTERVAL_S)
+        assert (await rig.ask())[0] == 200
+        assert rig.proxy.returncode is None
+    new_discovery.server.close()
 
 
 @real
-async def test_sigterm_while_loading_ends_it_without_letting_anybody_in() -> None:
+async def test_sigterm_while_loading_ends_the_program_before_it_accepts() -> None:
     async with Rig(Party("s1"), await_ready=False) as rig:
         await rig.loading()
         while rig.proxy.returncode is None:
             rig.proxy.send_signal(signal.SIGTERM)
             assert await rig.ready() is None
-            await asyncio.sleep(0.005)
-        assert rig.proxy.returncode in (0, -signal.SIGTERM)  # it may not have been its own yet
+            await asyncio.sleep(POLL_INTERVAL_S)
+        # The first SIGTERM may come before the program has installed its own handler.
+        assert rig.proxy.returncode in (0, -signal.SIGTERM)
 
 
 @pytest.fixture
-def early() -> Iterator[EarlySignals]:
-    before = {number: signal.getsignal(number) for number in NUMBERS}
+def early_signals() -> Iterator[EarlySignals]:
+    """Record signals of this process, and restore its handlers after the test."""
+    previous_handlers = {number: signal.getsignal(number) for number in HANDLED_SIGNALS}
     yield EarlySignals()
-    for number, handler in before.items():
+    for number, handler in previous_handlers.items():
         signal.signal(number, handler)
 
 
-def test_each_early_signal_is_handed_over_once(early: EarlySignals) -> None:
+def test_replays_each_early_signal_once_in_the_order_of_the_actions(early_signals: EarlySignals) -> None:
     for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGHUP):
         os.kill(os.getpid(), number)
-    obeyed: list[int] = []
-    obey = {number: partial(obeyed.append, number) for number in NUMBERS}
-    early.hand_over(obey)
-    early.hand_over(obey)
-    assert obeyed == [signal.SIGHUP, signal.SIGTERM]  # in the order given: news first, then the end
+    handled: list[int] = []
+    actions = {number: partial(handled.append, number) for number in HANDLED_SIGNALS}
+    early_signals.replay(actions)
+    early_signals.replay(actions)
+    assert handled == [signal.SIGHUP, signal.SIGTERM]  # the reload first, then the end
 
 
-def test_told_to_end_before_it_serves_it_lets_nobody_in(
-    early: EarlySignals, tmp_path: Path, monkeypatch
+def test_accepts_nothing_where_sigterm_came_before_it_serves(
+    early_signals: EarlySignals, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     doc = {"listen": "127.0.0.1:9", "discovery": "127.0.0.1:9", "seed": "1", "settings": SETTINGS}
     (tmp_path / "config.json").write_text(json.dumps(doc))
-    let_in: list[Listener] = []
+    accepting: list[Listener] = []
     monkeypatch.setattr(Listener, "bind", lambda listener, host, port: None)
-    monkeypatch.setattr(Listener, "start_accepting", let_in.append)
+    monkeypatch.setattr(Listener, "start_accepting", accepting.append)
     os.kill(os.getpid(), signal.SIGTERM)
-    run(load({"BALANCER_CONFIG": str(tmp_path / "config.json")}), early)
-    assert let_in == []
+    run(load({"BALANCER_CONFIG": str(tmp_path / "config.json")}), early_signals)
+    assert accepting == []
 
 
 @real
 @pytest.mark.parametrize(
     "numbers",
     [
-        (signal.SIGTERM, signal.SIGTERM),
-        (signal.SIGHUP, signal.SIGTERM),
-        (signal.SIGTERM, signal.SIGHUP, signal.SIGINT),
-        (signal.SIGHUP,) * 5 + (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM),
+        pytest.param((signal.SIGTERM, signal.SIGTERM), id="sigterm-twice"),
+        pytest.param((signal.SIGHUP, signal.SIGTERM), id="sighup-sigterm"),
+        pytest.param((signal.SIGTERM, signal.SIGHUP, signal.SIGINT), id="sigterm-sighup-sigint"),
+        pytest.param(
+            (signal.SIGHUP,) * 5 + (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM), id="many-of-each"
+        ),
     ],
 )
-@pytest.mark.parametrize("file", ["half", "moved"])
-async def test_signals_in_the_drain_lose_nothing(numbers: tuple[int, ...], file: str) -> None:
-    """With a request at a node, SIGHUP with a half-written file or with one that moves discovery."""
+@pytest.mark.parametrize(
+    "file_length",
+    [pytest.param(200, id="incomplete-file"), pytest.param(None, id="file-moves-discovery")],
+)
+async def test_loses_no_request_to_signals_while_draining(
+    numbers: tuple[signal.Signals, ...], file_length: int | None
+) -> None:
+    """A request is at an endpoint; SIGHUP finds an incomplete file, or one that moves discovery."""
     release = asyncio.Event()
 
-    async def late(party: Party) -> bytes:
+    async def respond_when_released(party: Party) -> bytes:
         await release.wait()
         return OK
 
-    new = Party("discovery-2", None)
-    await new.start()
-    async with Rig(Party("s1", late)) as rig:
-        taken = asyncio.create_task(rig.raw(request("pay")))
+    new_discovery = Party("discovery-2", None)
+    await new_discovery.start()
+    async with Rig(Party("s1", respond_when_released)) as rig:
+        response = asyncio.create_task(rig.raw(request("pay")))
         while not rig.endpoints[0].got:
-            await asyncio.sleep(0.005)
-        rig.reload(moved_to(rig, new)[: 200 if file == "half" else None])
+            await asyncio.sleep(POLL_INTERVAL_S)
+        rig.reload(config_with_discovery_at(rig, new_discovery)[:file_length])
         for number in numbers:
             rig.proxy.send_signal(number)
             await asyncio.sleep(0.02)
         while await rig.ready():
-            await asyncio.sleep(0.005)
+            await asyncio.sleep(POLL_INTERVAL_S)
         release.set()
-        assert (await taken)[0] == 200
+        assert (await response)[0] == 200
         assert await rig.proxy.wait() == 0
-    new.server.close()
+    new_discovery.server.close()
