--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,7 @@
 lint: build
 	.venv/bin/ruff check $(CODE)
 	.venv/bin/ruff format --check $(CODE)
+	.venv/bin/mypy
 	.venv/bin/lint-imports --no-cache
 
 format: build
