--- a/alderspool/program/app.py
+++ b/alderspool/program/app.py
@@ -20,6 +20,7 @@
 from alderspool.protocol.downstream import RequestReader
 from alderspool.routing.clock import Clock
 from alderspool.routing.exchange import Exchange
+from alderspool.transport.arrival import TimedSelector
 from alderspool.transport.descriptor_budget import DOWNSTREAM_SHARE, DescriptorBudget
 from alderspool.transport.discovery import DiscoveryClient
 from alderspool.transport.listener import Listener
@@ -39,11 +40,16 @@
 GC_THRESHOLD_GENERATION_2 = 5
 
 
-async def serve(config: Config, early_signals: EarlySignals | None = None) -> None:
+async def serve(
+    config: Config,
+    early_signals: EarlySignals | None = None,
+    selector: TimedSelector | None = None,
+) -> None:
     """Serve until SIGTERM or SIGINT, then shut down gracefully.
 
     `early_signals` are those that arrived while the program was loading. If one of them asks for the end, no
-    connection is accepted. Raises ConfigError where the address to listen at cannot be bound.
+    connection is accepted. `selector` is the event loop's: it tells the listener how long connections may
+    have waited in the accept queue. Raises ConfigError where the address to listen at cannot be bound.
     """
     stop_requested = asyncio.Event()
     exchange = Exchange(config.settings, config.seed, Clock())
@@ -60,7 +66,7 @@
         },
         early_signals,
     )
-    listener = Listener(exchange, RequestReader(config.settings), budget.allot(DOWNSTREAM_SHARE))
+    listener = Listener(exchange, RequestReader(config.settings), budget.allot(DOWNSTREAM_SHARE), selector)
     _bind(listener, config)
     exchange.start(pool, discovery, config.known)
     if not config.settings.list_on_request and not await discovery.wait_for_list(FIRST_LIST_TIMEOUT_S):
@@ -82,8 +88,11 @@
 
 
 def run(config: Config, early_signals: EarlySignals | None = None) -> None:
-    """Run `serve` in an event loop of its own."""
-    asyncio.run(serve(config, early_signals))
+    """Run `serve` in an event loop of its own, whose selector keeps the times that the listener needs."""
+    selector = TimedSelector()
+    loop_factory = partial(asyncio.SelectorEventLoop, selector)
+    with asyncio.Runner(loop_factory=loop_factory) as runner:
+        runner.run(serve(config, early_signals, selector))
 
 
 def _handle_signals(actions: dict[signal.Signals, SignalAction], early_signals: EarlySignals | None) -> None:
--- a/alderspool/program/cli.py
+++ b/alderspool/program/cli.py
@@ -38,7 +38,7 @@
 
 
 def _load_config() -> Config:
-    from alderspool.program.config import load  # noqa: PLC0415 - see the head of this file
+    from alderspool.program.config import load
 
     try:
         return load(os.environ)
@@ -100,7 +100,7 @@
     logger.remove()
     logger.add(sys.stderr, level=log_level, format=LOG_FORMAT, backtrace=False, diagnose=False)
     config = _load_config()
-    from alderspool.program.app import run  # noqa: PLC0415 - see the head of this file
+    from alderspool.program.app import run
 
     try:
         run(config, early_signals)
