--- a/alderspool/transport/discovery.py
+++ b/alderspool/transport/discovery.py
@@ -1,221 +1,194 @@
-"""Calls to discovery: one watch that goes on as long as it is answered, and is opened anew when it is not."""
+"""The client of discovery: keeps the endpoint list up to date by one watch that is opened again when it ends.
+
+`discovery_watch` has the watch's states and transitions, `discovery_timeouts` and `discovery_backoff` the
+times, `discovery_connection` the connection, `discovery_agent_poll` the polling of a silent local agent.
+"""
 
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
-from enum import Enum
-from math import inf
 from random import Random
+from typing import Protocol
 
 from alderspool.balancer.settings import Settings
-from alderspool.protocol import endpoint_list
-from alderspool.protocol.endpoint_list import EndpointListError
+from alderspool.protocol.endpoint_list import ListRequest, read_list
 from alderspool.protocol.http_client import HttpResponse
-from alderspool.routing.exchange import Exchange
-from alderspool.transport.streams import connect, read_response
-
-TOLD_S = 6.0  # the protocol page: whatever discovery has to tell counts as told so long after
-AT_ONCE_MS = 1
-# A watch goes on if the next call comes within 0.2 s. One that is answered before its time with nothing new
-# is asked again after this: a discovery that does not wait must not be stormed.
-EMPTY_S = 0.1
-# An agent on our machine answers at once, or it is silent because discovery is down. What it has when that
-# is back counts as told at once. Asking costs nothing, so one that does not answer is asked again after this,
-# while so many earlier calls stand: one of them is answered by an agent that is merely slow.
-AGENT_AGAIN_S, AGENT_CALLS = 0.15, 4
-Place = tuple[str, int]
-
-
-@dataclass(frozen=True, slots=True)
-class Term:
-    """How the time is spent within which a change counts as told, heard or not. In seconds.
-
-    A watch may fall silent right after it was asked, and discovery may refuse the first call after that, at
-    the latest after 3 s: wait, lateness, a whole call and the wait after its failure are 0.73 of the term.
-    The rest is for a second call, whose turn may take a second and a half, and for a core shared with others.
-    """
-
-    wait: float  # of a watch, while nothing is new
-    late: float  # an answer that is later than this after its wait: the watch has fallen silent
-    call: float  # for a call that does not wait, its dial included: longer than discovery holds one
-    dial: float  # a discovery that is cut off must not hold a call for all that time
-    again: float  # the first wait after a failed call; doubled with each further one
-    again_most: float
-
-    @classmethod
-    def of(cls, settings: Settings) -> Term:
-        whole = min(TOLD_S, (settings.list_max_age_ms or inf) / 1000.0)
-        shares = (0.1, 0.05, 0.53, 0.15, 0.05, 0.2)
-        return cls(*(share * whole for share in shares))
-
-
-class WatchState(Enum):
-    WHOLE = "whole"  # nothing of this discovery's list is held: all of it is asked for
-    ANEW = "anew"  # no watch is open: what is newer than our version is asked for, at once
-    WATCH = "watch"  # the last answer was followed at once: the watch goes on
-
-
-class DiscoveryConnection:
-    """One connection to discovery, kept from call to call; calls go one at a time."""
-
-    def __init__(self, place: Place, dial_s: float) -> None:
-        self._place, self._dial_s = place, dial_s
-        self._reader: asyncio.StreamReader | None = None
-        self._writer: asyncio.StreamWriter | None = None
-        self._wire = endpoint_list.discovery_codec()
-
-    async def call(self, since: int | None = None, wait_ms: int = 0) -> HttpResponse:
-        """The answer to one call, on the connection that stands or on a new one. Whatever fails here is the
-        caller's to mend: a call that took a second dial by itself would outlast the time it was given."""
-        if self._writer is None:
-            self._wire = endpoint_list.discovery_codec()
-            async with asyncio.timeout(self._dial_s):
-                self._reader, self._writer = await connect(*self._place)
-        self._writer.write(endpoint_list.compose_call(self._wire, self._place[0], since, wait_ms))
-        reply = await read_response(self._reader, self._wire)
-        if not self._wire.reusable:
-            self.drop()
-        return reply
-
-    def drop(self) -> None:
-        if self._writer is not None:
-            self._writer.transport.abort()
-        self._reader = self._writer = None
+from alderspool.routing.messages import EndpointList
+from alderspool.transport.discovery_agent_poll import AGENT_POLL_INTERVAL_S, AgentPoller
+from alderspool.transport.discovery_backoff import JitteredBackoff
+from alderspool.transport.discovery_connection import Address, DiscoveryConnection
+from alderspool.transport.discovery_timeouts import DiscoveryTimeouts
+from alderspool.transport.discovery_watch import (
+    TRANSITIONS,
+    NextCall,
+    RevisionWentBackError,
+    Transition,
+    WatchEvent,
+    WatchState,
+    classify_failure,
+)
+
+MIN_WAIT_MS = 1  # the shortest wait that can be stated: discovery responds at once
+# Discovery keeps a watch open if the next call comes within 0.2 s. After a response that came early and has
+# no update, the next call is delayed by this: a discovery that never waits must not be overloaded with calls.
+EARLY_RESPONSE_DELAY_S = 0.1
+MAX_REASON_LENGTH = 200  # characters of an error in the log
+
+
+class EndpointListObserver(Protocol):
+    """Receives what discovery sends; the exchange in the program."""
+
+    def list_received(self, endpoint_list: EndpointList, /) -> None:
+        """Take over a complete list or an update."""
+
+    def list_call_failed(self, reason: str, /) -> None:
+        """Note that a call failed: the list known so far stays valid."""
 
 
 class DiscoveryClient:
-    """The watch on the endpoint list. Once it is on it never ends by itself: whatever an answer holds, and
-    whatever fails, it is asked again in time."""
+    """Watches the endpoint list from one event loop.
+
+    It owns its connections and the task that watches. While the watch is on, that task does not end by
+    itself: whatever a response holds, and whatever error occurs, the next call is made in time. Errors are
+    passed to the exchange as text and never raised.
+    """
 
     def __init__(
-        self, place: Place, exchange: Exchange, settings: Settings, revision: int, seed: int = 0
+        self,
+        address: Address,
+        exchange: EndpointListObserver,
+        settings: Settings,
+        revision: int,
+        seed: int = 0,
     ) -> None:
-        self._place, self._exchange, self._settings = place, exchange, settings
-        self._term, self._agent = Term.of(settings), not settings.list_on_request
-        # What an agent holds counts as told from our first moment, so of it no more is taken for known than
-        # it has said to us. A discovery that is asked goes on from the list that we were given.
-        self._asking = WatchState.WHOLE if self._agent else WatchState.ANEW
+        """Start from the configured list, which has this revision; `seed` is that of the backoff's jitter."""
+        self._address = address
+        self._exchange = exchange
+        self._settings = settings
+        self._timeouts = DiscoveryTimeouts.from_settings(settings)
+        self._backoff = JitteredBackoff(
+            self._timeouts.initial_backoff_s, self._timeouts.max_backoff_s, Random(seed)
+        )
+        self._uses_local_agent = not settings.list_on_request
+        # What a local agent holds counts as notified from our first moment, so only what it has sent to us
+        # counts as known. A discovery that is polled continues from the configured list.
+        self._state = WatchState.FULL_LIST_NEEDED if self._uses_local_agent else WatchState.NOT_WATCHING
         self._revision = revision
-        self._random = Random(seed)
-        self._heard = asyncio.Event()
-        self._watching: asyncio.Task[None] | None = None
+        self._has_list = asyncio.Event()
+        self._watch_task: asyncio.Task[None] | None = None
 
-    async def wait_for_list(self, patience_s: float) -> bool:
-        """Waits until a list has come, but no longer than this."""
+    async def wait_for_list(self, timeout_s: float) -> bool:
+        """Wait until a list has been received, and return whether one was within the timeout."""
         try:
-            async with asyncio.timeout(patience_s):
-                await self._heard.wait()
+            async with asyncio.timeout(timeout_s):
+                await self._has_list.wait()
         except TimeoutError:
             return False
         return True
 
     def watch(self, on: bool) -> None:
+        """Start the watch, or stop it; no effect where it is so already."""
         if not on:
             self._stop()
-        elif self._watching is None:
-            self._watching = asyncio.get_running_loop().create_task(self._watch(self._place))
+        elif self._watch_task is None:
+            self._watch_task = asyncio.get_running_loop().create_task(self._run_watch(self._address))
 
     def fetch(self) -> None:
-        """The whole list is asked for, and the watch goes on from there."""
-        self._asking = WatchState.WHOLE
+        """Request the complete list now, and watch from its revision on."""
+        self._transition(WatchEvent.FULL_LIST_REQUESTED)
         self._stop()
         self.watch(True)
 
-    def move_to(self, place: Place) -> None:
-        """Goes on at another address. Its versions need not continue those of the old one, so nothing
-        is asked for by version, nor taken from the old one, until it has given its whole list."""
-        if place != self._place:
-            self._place = place
+    def move_to(self, address: Address) -> None:
+        """Continue at another address; no effect where it is the present one.
+
+        Its revisions need not continue those of the old discovery. Until it has sent its complete list no
+        changes are requested by revision, and nothing more is accepted from the old one.
+        """
+        if address != self._address:
+            self._address = address
             self.fetch()
 
     def _stop(self) -> None:
-        if self._watching is not None:
-            self._watching.cancel()  # what it has asked is never taken: it awaits, and ends there
-            self._watching = None
-
-    async def _watch(self, place: Place) -> None:
-        line, failures = DiscoveryConnection(place, self._term.dial), 0
+        if self._watch_task is not None:
+            # The task is waiting, and ends there: no response to a call that is out is accepted any more.
+            self._watch_task.cancel()
+            self._watch_task = None
+
+    async def _run_watch(self, address: Address) -> None:
+        connection = DiscoveryConnection(address, self._timeouts.connect_s)
+        failures = 0
         try:
             while True:
                 try:
-                    await self._ask(line)
+                    await self._update_list(connection)
                     failures = 0
                     continue
-                except Exception as fault:  # of any kind: an asking that ended here would never be missed
-                    line.drop()
-                    if self._asking is WatchState.WATCH:
-                        self._asking = WatchState.ANEW
-                        if isinstance(fault, TimeoutError):
-                            continue  # fallen silent: what it missed is asked for before it counts as told
-                    else:
+                except Exception as error:  # of any kind: nobody would notice a watch that ended here
+                    connection.close()
+                    transition = self._transition(classify_failure(error))
+                    if transition.is_failure:
                         failures += 1
-                        self._exchange.list_call_failed(str(fault)[:200] or type(fault).__name__)
-                await asyncio.sleep(self._pause_s(failures))
+                        self._exchange.list_call_failed(_reason(error))
+                if transition.next_call is NextCall.AFTER_BACKOFF:
+                    await asyncio.sleep(self._retry_delay_s(failures))
         finally:
-            line.drop()
-
-    def _pause_s(self, failures: int) -> float:
-        """Between a failure and the next call. All proxies may fail together, so it is drawn, between half of
-        the wait and all of it: else they would come in waves. `failures`: of calls that opened no watch."""
-        if self._agent:
-            return AGENT_AGAIN_S
-        most = min(self._term.again * 2.0 ** max(min(failures, 8) - 1, 0), self._term.again_most)
-        return most * (0.5 + 0.5 * self._random.random())
-
-    async def _ask(self, line: DiscoveryConnection) -> None:
-        """One call as our state demands, and what it tells."""
-        term, asking, before = self._term, self._asking, self._revision
-        wait_ms = max(int(1000.0 * term.wait), 1) if asking is WatchState.WATCH else AT_ONCE_MS
+            connection.close()
+
+    def _transition(self, event: WatchEvent) -> Transition:
+        transition = TRANSITIONS[self._state, event]
+        self._state = transition.next_state
+        return transition
+
+    def _retry_delay_s(self, failures: int) -> float:
+        if self._uses_local_agent:
+            return AGENT_POLL_INTERVAL_S
+        return self._backoff.delay_s(failures)
+
+    async def _update_list(self, connection: DiscoveryConnection) -> None:
+        """Make the call that the state demands, and pass on the list in its response."""
+        state = self._state
+        known_revision = self._revision
         clock = asyncio.get_running_loop().time
-        asked = clock()
-        if self._agent and asking is WatchState.ANEW:
-            reply = await self._agent_says(before)
-        else:
-            async with asyncio.timeout(term.wait + term.late if asking is WatchState.WATCH else term.call):
-                reply = await line.call(*(() if asking is WatchState.WHOLE else (before, wait_ms)))
-        told = endpoint_list.read_list(reply, self._settings)
-        if asking is not WatchState.WHOLE and told.revision < before:
-            # Not the one that we knew, or it has lost its memory: its versions tell us nothing by now.
-            self._asking = WatchState.WHOLE
-            raise EndpointListError(f"version {told.revision} after {before}")
-        self._exchange.list_received(told)
-        self._revision, self._asking = told.revision, WatchState.WATCH
-        self._heard.set()
-        if (
-            asking is WatchState.WATCH
-            and told.revision == before
-            and clock() - asked < min(EMPTY_S, term.wait)
-        ):
-            await asyncio.sleep(EMPTY_S)
-
-    async def _agent_says(self, since: int) -> HttpResponse:
-        """The first answer of an agent that has fallen silent, whichever of our calls it is to."""
-        calls: list[asyncio.Task[HttpResponse]] = []  # the oldest first
+        called_at = clock()
+        response = await self._call(connection)
+        endpoint_list = read_list(response, self._settings)
+        revision = endpoint_list.revision
+        if state is not WatchState.FULL_LIST_NEEDED and revision < known_revision:
+            # Another discovery than the one we knew, or one that has lost its data: its revisions cannot be
+            # compared with ours.
+            raise RevisionWentBackError(f"revision {revision} after {known_revision}")
+        self._exchange.list_received(endpoint_list)
+        self._revision = revision
+        self._transition(WatchEvent.LIST_RECEIVED)
+        self._has_list.set()
+        if state is WatchState.WATCHING and revision == known_revision:
+            is_early = clock() - called_at < min(EARLY_RESPONSE_DELAY_S, self._timeouts.watch_wait_s)
+            if is_early:
+                await asyncio.sleep(EARLY_RESPONSE_DELAY_S)
+
+    async def _call(self, connection: DiscoveryConnection) -> HttpResponse:
+        timeouts = self._timeouts
+        if self._state is WatchState.WATCHING:
+            wait_ms = max(int(1000.0 * timeouts.watch_wait_s), MIN_WAIT_MS)
+            async with asyncio.timeout(timeouts.watch_wait_s + timeouts.watch_grace_s):
+                return await connection.call(ListRequest(self._revision, wait_ms))
+        if self._state is WatchState.NOT_WATCHING and self._uses_local_agent:
+            return await AgentPoller(self._poll_agent, self._report_silent_agent).first_response()
+        since_revision = self._revision if self._state is WatchState.NOT_WATCHING else None
+        async with asyncio.timeout(timeouts.call_s):
+            return await connection.call(ListRequest(since_revision, MIN_WAIT_MS))
+
+    async def _poll_agent(self) -> HttpResponse:
+        connection = DiscoveryConnection(self._address, self._timeouts.connect_s)
         try:
-            while True:
-                calls.append(asyncio.get_running_loop().create_task(self._call_once(since)))
-                if len(calls) > AGENT_CALLS:
-                    calls.pop(0).cancel()
-                done, _ = await asyncio.wait(
-                    calls, timeout=AGENT_AGAIN_S, return_when=asyncio.FIRST_COMPLETED
-                )
-                for call in done:
-                    if call.exception() is None:
-                        return call.result()
-                    calls.remove(call)
-                if done:
-                    await asyncio.sleep(AGENT_AGAIN_S)  # refused or reset: at once, so it must not be stormed
-                elif len(calls) == 1:
-                    self._exchange.list_call_failed("the agent is silent")
+            return await connection.call(ListRequest(self._revision, MIN_WAIT_MS))
         finally:
-            for call in calls:
-                if not call.cancel() and not call.cancelled():
-                    call.exception()  # looked at, so that it is not taken for one that nobody saw
+            connection.close()
 
-    async def _call_once(self, since: int) -> HttpResponse:
-        line = DiscoveryConnection(self._place, self._term.dial)
-        try:
-            return await line.call(since, AT_ONCE_MS)
-        finally:
-            line.drop()
+    def _report_silent_agent(self) -> None:
+        self._exchange.list_call_failed("the local agent does not respond")
+
+
+def _reason(error: Exception) -> str:
+    return str(error)[:MAX_REASON_LENGTH] or type(error).__name__
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -297,16 +297,16 @@
 
     failing = Party("discovery", reply)
     await failing.start()
-    monkeypatch.setattr(discovery.asyncio, "sleep", record)
+    monkeypatch.setattr(asyncio, "sleep", record)
     settings, clients = read_settings(flatten(SETTINGS)), []
     place = ("127.0.0.1", failing.port)
     for seed in range(40):
         first = ("127.0.0.1", 9) if what == "moved" else place
         client = discovery.DiscoveryClient(first, Told(), settings, seed, seed)
         client.move_to(place) if what == "moved" else client.watch(True)
-        client._watching.set_name(str(seed))
+        client._watch_task.set_name(str(seed))
         clients.append(client)
-    await asyncio.gather(*(c._watching for c in clients), return_exceptions=True)
+    await asyncio.gather(*(c._watch_task for c in clients), return_exceptions=True)
     assert len(heard) == (0 if what == "moved" else 40)
     assert failing.opened == 6 * 40  # one before each wait: no call dials twice
     wanted = (0.3, 0.6, 1.2, 1.2, 1.2, 1.2) if what == "moved" else (0.3, 0.3, 0.6, 1.2, 1.2, 1.2)
