--- a/alderspool/protocol/http_client.py
+++ b/alderspool/protocol/http_client.py
@@ -1,4 +1,7 @@
-"""The asking half of HTTP/1.1 on one connection: a request's bytes out, its whole reply in."""
+"""The client side of HTTP/1.1 on one connection: a request's bytes out, its complete response in. No I/O.
+
+Used for the calls to endpoints and to discovery. One request at a time; interim (1xx) responses are skipped.
+"""
 
 from __future__ import annotations
 
@@ -7,38 +10,51 @@
 
 import httptools
 
-from alderspool.protocol.http_parts import HttpMessageCollector
+from alderspool.protocol.http_parts import HttpFault, HttpMessageCollector
 
-MOST_INTERIM = 8  # 1xx answers in front of a reply; without end they would hold its connection for ever
+MAX_INTERIM_RESPONSES = 8  # in front of a response; without a limit they could occupy its connection for ever
+FIRST_FINAL_STATUS = 200  # statuses below are interim
+TOO_MANY_INTERIM_RESPONSES = HttpFault(502, "too many interim responses")
+_LENGTH_HEADERS = (b"content-length", b"transfer-encoding")
 
 
 class BrokenResponseError(Exception):
-    """The reply ended early, is too long, or is no HTTP."""
+    """The response ended early, is too large, or is not HTTP."""
 
 
 @dataclass(slots=True)
 class HttpResponse:
+    """A complete response, header names in lower case."""
+
     status: int
     headers: dict[bytes, bytes]
     body: bytes
 
 
 class HttpClientCodec(HttpMessageCollector):
+    """Encodes the requests and decodes the responses of one connection.
+
+    `reusable` says whether another request may follow on the connection. It turns false for good on the first
+    sign that it may not: `Connection: close`, a response that ends with the stream, bytes behind a response.
+    """
+
     def __init__(self, body_limit: int) -> None:
+        """Limit the body of each response to so many bytes."""
         super().__init__(body_limit)
+        self.reusable = True
         self._parser = httptools.HttpResponseParser(self)
-        self._reply: HttpResponse | None = None
-        self._interim = 0
+        self._response: HttpResponse | None = None  # complete, not yet returned
         self._status = 0
-        self._asked = False  # a request is out
-        self._until_end = False  # a body without a length: it is whole as its sender ends the stream
-        self.reusable = True  # whether another request may follow on this connection
+        self._interim_count = 0
+        self._awaits_response = False
+        self._ends_with_stream = False  # a body without a length is complete when its sender ends the stream
 
     def compose(
         self, method: bytes, target: bytes, headers: Iterable[tuple[bytes, bytes]], body: bytes = b""
     ) -> bytes:
-        """The bytes of a request, whole."""
-        self._asked, self._interim = True, 0
+        """Return all bytes of a request, and expect its response from now on."""
+        self._awaits_response = True
+        self._interim_count = 0
         lines = [b"%b %b HTTP/1.1\r\n" % (method, target)]
         lines += [b"%b: %b\r\n" % field for field in headers]
         if body or method != b"GET":
@@ -46,45 +62,57 @@
         return b"%b\r\n%b" % (b"".join(lines), body)
 
     def receive(self, data: bytes | None) -> HttpResponse | None:
-        """The reply once it is whole; b"" says that the sender has ended the stream, None that the connection
-        was reset, which is no end: half an answer would pass as whole."""
+        """Take the bytes that were read, and return the response once it is complete.
+
+        b"" says that the sender has ended the stream. None says that the connection was reset, which ends no
+        response: half a body would pass as complete. Raises BrokenResponseError.
+        """
         if not data:
-            if data is None or not self._until_end or self.fault is not None:
-                raise BrokenResponseError("the connection ended")
-            self.message_done()
-            return self._whole()
+            self._end_stream(is_reset=data is None)
+            return self._take_response()
         try:
             self.feed(self._parser, data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as fault:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self.reusable = False
-            if self._reply is None:
-                raise BrokenResponseError(str(fault)) from None
-        if self._reply is None and self.fault is not None:
-            raise BrokenResponseError(self.fault[1])
-        return self._whole()
-
-    def _whole(self) -> HttpResponse | None:
-        reply, self._reply = self._reply, None
-        return reply
+            if self._response is None:
+                raise BrokenResponseError(str(error)) from None
+        if self._response is None and self.fault is not None:
+            raise BrokenResponseError(self.fault.reason)
+        return self._take_response()
+
+    def _end_stream(self, is_reset: bool) -> None:
+        if is_reset or not self._ends_with_stream or self.fault is not None:
+            raise BrokenResponseError("the connection ended")
+        self.message_done()
+
+    def _take_response(self) -> HttpResponse | None:
+        response = self._response
+        self._response = None
+        return response
 
     def on_message_begin(self) -> None:
-        if not self._asked:  # a second copy of the reply, or what else nobody asked for
+        """Start a new message; one that no request waits for makes the connection unusable."""
+        if not self._awaits_response:  # a duplicate of the response, or an unsolicited one
             self.reusable = False
-        self._until_end = False
+        self._ends_with_stream = False
         super().on_message_begin()
 
     def head_done(self) -> None:
+        """Find out from the head how the body ends, and whether the connection stays open."""
         self._status = self._parser.get_status_code()
-        if self._status < 200:
-            self._interim += 1
-            if self._interim > MOST_INTERIM:
-                self.fault = (502, "interim answers without end")
-        elif not any(n in (b"content-length", b"transfer-encoding") for n, _ in self.headers):
-            self._until_end, self.reusable = self._asked, False
+        if self._status < FIRST_FINAL_STATUS:
+            self._interim_count += 1
+            if self._interim_count > MAX_INTERIM_RESPONSES:
+                self.fault = TOO_MANY_INTERIM_RESPONSES
+        elif not any(name in _LENGTH_HEADERS for name, _ in self.headers):
+            self._ends_with_stream = self._awaits_response
+            self.reusable = False
         elif not self._parser.should_keep_alive():
             self.reusable = False
 
     def message_done(self) -> None:
-        if self._asked and self._status >= 200 and self.fault is None:
-            self._asked = self._until_end = False
-            self._reply = HttpResponse(self._status, dict(self.headers), self.body)
+        """Store the response, unless it is an interim or unsolicited one or exceeds a limit."""
+        if self._awaits_response and self._status >= FIRST_FINAL_STATUS and self.fault is None:
+            self._awaits_response = False
+            self._ends_with_stream = False
+            self._response = HttpResponse(self._status, dict(self.headers), self.body)
--- a/alderspool/protocol/http_parts.py
+++ b/alderspool/protocol/http_parts.py
@@ -1,79 +1,130 @@
-"""One direction of an HTTP/1.1 connection: what the parser says of it, put together within bounds.
+"""Assembly of HTTP/1.1 messages from the callbacks of a parser, within size limits. No I/O.
 
-The parser is httptools (llhttp), strict: it refuses what two readers could read differently, such as
-Content-Length beside Transfer-Encoding, differing or odd lengths, folded headers and bare line feeds.
+Shared by both directions: `http_client` reads responses, `downstream` reads requests.
+
+The parser is httptools (llhttp) in its strict mode. It rejects what two readers could understand differently,
+such as Content-Length beside Transfer-Encoding, differing or malformed lengths, folded headers and bare line
+feeds. What it leaves to its user is done here: limits on heads and bodies, and trailers kept apart.
 """
 
 from __future__ import annotations
 
-HEAD_LIMIT = 16 * 1024
+from typing import NamedTuple, Protocol
+
+HEAD_LIMIT_BYTES = 16 * 1024
 Headers = list[tuple[bytes, bytes]]
 
 
+class HttpFault(NamedTuple):
+    """Why a connection can carry no further message: the status to respond with, and the reason in words."""
+
+    status: int
+    reason: str
+
+
+HEAD_TOO_LARGE = HttpFault(431, "head over 16 KiB")
+BODY_TOO_LARGE = HttpFault(413, "body over the limit")
+
+
+class HttpParser(Protocol):
+    """A parser of httptools, for requests or for responses."""
+
+    def feed_data(self, data: bytes) -> None:
+        """Parse some bytes; calls the `on_` methods of the collector."""
+
+
 class HttpMessageCollector:
-    """Collects messages, one after the other. What is too long sets `fault`, and from then on nothing
-    more is collected: who sends without end must not fill the memory."""
+    """Collects the messages of one connection, one after the other.
+
+    The first limit that is exceeded sets `fault`. From then on no body is collected any more, so that a
+    sender without end cannot fill the memory. `headers`, `target` and `body` are those of the present or last
+    message.
+
+    Subclasses own the parser, pass it to `feed`, and override `head_done` and `message_done`.
+    """
 
     def __init__(self, body_limit: int) -> None:
-        self._limit = body_limit
-        self.fault: tuple[int, str] | None = None
-        self.begun = self.head_whole = False
-        self._fed = 0  # while no head is whole
-        self._count = 0  # whole messages
-        self._parts: list[bytes] = []
-
-    def feed(self, parser: object, data: bytes) -> None:
-        """Raises httptools' errors."""
-        before = self._count
+        """Limit each body to so many bytes."""
+        self.fault: HttpFault | None = None
+        self.begun = False  # part of a message has been read, its end has not
+        self.head_whole = False  # the same, and its head is complete
+        self.target = b""
+        self.headers: Headers = []
+        self._parts: list[bytes] = []  # of the body
+        self._body_limit = body_limit
+        self._body_size = 0
+        self._incomplete_head_size = 0  # bytes fed since the last complete head or message
+        self._message_count = 0  # complete messages
+
+    def feed(self, parser: HttpParser, data: bytes) -> None:
+        """Parse some bytes. Raises the errors of httptools."""
+        count_before = self._message_count
         parser.feed_data(data)
-        self._fed = 0 if self.head_whole or self._count != before else self._fed + len(data)
-        if self._fed > HEAD_LIMIT:  # a head that never ends, or line ends before it
-            self.fault = self.fault or (431, "head over 16 KiB")
+        if self.head_whole or self._message_count != count_before:
+            self._incomplete_head_size = 0
+            return
+        self._incomplete_head_size += len(data)
+        if self._incomplete_head_size > HEAD_LIMIT_BYTES:  # a head without end, or empty lines before it
+            self.fault = self.fault or HEAD_TOO_LARGE
 
-    # ---- httptools calls these -------------------------------------------------------------------
+    # ---- called by httptools -----------------------------------------------------------------------
 
     def on_message_begin(self) -> None:
-        self.begun, self.head_whole = True, False
-        self.target, self._size = b"", 0
+        """Start a new message."""
+        self.begun = True
+        self.head_whole = False
+        self.target = b""
+        self.headers = []
         self._parts = []
-        self.headers: Headers = []
+        self._body_size = 0
 
     def on_url(self, part: bytes) -> None:
+        """Add a part of the request's target."""
         self.target += part
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if not self.head_whole:  # trailers come after the body: they must not pass for the head's
+        """Add a header, its name in lower case.
+
+        Trailers come here too, after the body. They are dropped: they must not pass for headers.
+        """
+        if not self.head_whole:
             self.headers.append((name.lower(), value.strip(b" \t")))
 
     def on_headers_complete(self) -> None:
+        """Check the size of the head, and the size that it states for the body, before any of that comes."""
         self.head_whole = True
-        if sum(len(n) + len(v) for n, v in self.headers) + len(self.target) > HEAD_LIMIT:
-            self.fault = self.fault or (431, "head over 16 KiB")
+        head_size = sum(len(name) + len(value) for name, value in self.headers) + len(self.target)
+        if head_size > HEAD_LIMIT_BYTES:
+            self.fault = self.fault or HEAD_TOO_LARGE
         for name, value in self.headers:
-            if name == b"content-length" and int(value) > self._limit:  # it need not come to be too long
-                self.fault = self.fault or (413, "body over the limit")
+            if name == b"content-length" and int(value) > self._body_limit:
+                self.fault = self.fault or BODY_TOO_LARGE
         self.head_done()
 
     def on_body(self, part: bytes) -> None:
-        self._size += len(part)
-        if self._size > self._limit:
-            self.fault = self.fault or (413, "body over the limit")
+        """Add a part of the body."""
+        self._body_size += len(part)
+        if self._body_size > self._body_limit:
+            self.fault = self.fault or BODY_TOO_LARGE
         if self.fault is None:
             self._parts.append(part)
 
     def on_message_complete(self) -> None:
+        """End the message."""
         self.message_done()
-        self._count += 1
-        self.begun = self.head_whole = False
+        self._message_count += 1
+        self.begun = False
+        self.head_whole = False
 
     @property
     def body(self) -> bytes:
+        """The body collected so far."""
         return b"".join(self._parts)
 
-    # ---- for each side to fill in ------------------------------------------------------------------
+    # ---- overridden by each direction ---------------------------------------------------------------
 
     def head_done(self) -> None:
-        """The head is whole."""
+        """Act on a complete head."""
 
     def message_done(self) -> None:
-        """The message is whole."""
+        """Act on a complete message, whose fields are still in place."""
