--- a/alderspool/transport/discovery.py
+++ b/alderspool/transport/discovery.py
@@ -1,7 +1,7 @@
 """The client of discovery: keeps the endpoint list up to date by one watch that is opened again when it ends.
 
 `discovery_watch` has the watch's states and transitions, `discovery_timeouts` and `discovery_backoff` the
-times, `discovery_connection` the connection, `discovery_agent_poll` the polling of a silent local agent.
+times, `discovery_connection` the connection, `discovery_agent_poll` the polling of an unresponsive agent.
 """
 
 from __future__ import annotations
@@ -174,7 +174,7 @@
             async with asyncio.timeout(timeouts.watch_wait_s + timeouts.watch_grace_s):
                 return await connection.call(ListRequest(self._revision, wait_ms))
         if self._state is WatchState.NOT_WATCHING and self._uses_local_agent:
-            return await AgentPoller(self._poll_agent, self._report_silent_agent).first_response()
+            return await AgentPoller(self._poll_agent, self._report_unresponsive_agent).first_response()
         since_revision = self._revision if self._state is WatchState.NOT_WATCHING else None
         async with asyncio.timeout(timeouts.call_s):
             return await connection.call(ListRequest(since_revision, MIN_WAIT_MS))
@@ -186,7 +186,7 @@
         finally:
             connection.close()
 
-    def _report_silent_agent(self) -> None:
+    def _report_unresponsive_agent(self) -> None:
         self._exchange.list_call_failed("the local agent does not respond")
 
 
--- a/alderspool/transport/discovery_agent_poll.py
+++ b/alderspool/transport/discovery_agent_poll.py
@@ -2,8 +2,8 @@
 
 An agent on the same host responds at once, or does not respond because discovery is down. An update that the
 agent holds when discovery is back counts as notified at once. A poll costs nothing, so an agent that does not
-respond is polled again after a short interval while earlier polls are still outstanding: one of those is
-answered by an agent that is merely slow.
+respond is polled again after a short interval while earlier polls are still outstanding: a merely slow agent
+responds to one of those.
 """
 
 from __future__ import annotations
@@ -21,19 +21,19 @@
 class AgentPoller:
     """Polls until one poll, whichever it is, has a response.
 
-    `send_poll` makes one poll on a connection of its own. `on_silence` is called each time the interval has
-    passed with only one poll outstanding. Used once, then discarded.
+    `send_poll` makes one poll on a connection of its own. `on_no_response` is called whenever the interval
+    has passed with only one poll outstanding. Used once, then discarded.
     """
 
     def __init__(
-        self, send_poll: Callable[[], Coroutine[Any, Any, HttpResponse]], on_silence: Callable[[], None]
+        self, send_poll: Callable[[], Coroutine[Any, Any, HttpResponse]], on_no_response: Callable[[], None]
     ) -> None:
         self._send_poll = send_poll
-        self._on_silence = on_silence
+        self._on_no_response = on_no_response
         self._outstanding: list[asyncio.Task[HttpResponse]] = []  # the oldest first
 
     async def first_response(self) -> HttpResponse:
-        """Return the first response. When this ends, also on cancellation, no poll is left running."""
+        """Return the first response. When this ends, also by cancellation, all other polls are cancelled."""
         try:
             while True:
                 self._start_poll()
@@ -62,7 +62,7 @@
             # The agent rejected or reset the connection, which takes no time: do not poll in a busy loop.
             await asyncio.sleep(AGENT_POLL_INTERVAL_S)
         elif len(self._outstanding) == 1:
-            self._on_silence()
+            self._on_no_response()
         return None
 
 
--- a/alderspool/transport/discovery_backoff.py
+++ b/alderspool/transport/discovery_backoff.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from random import Random
 
-MAX_DOUBLINGS = 7
+MAX_DOUBLINGS = 7  # after a thousand failures the power would overflow
 
 
 @dataclass(frozen=True, slots=True)
--- a/alderspool/transport/discovery_watch.py
+++ b/alderspool/transport/discovery_watch.py
@@ -25,7 +25,7 @@
 
 
 class WatchEvent(Enum):
-    """How a call ended, or what the client was told to do."""
+    """How a call ended, or what the program requested."""
 
     LIST_RECEIVED = "list received"
     CALL_TIMED_OUT = "call timed out"
@@ -37,7 +37,7 @@
 class NextCall(Enum):
     """When the next call is made."""
 
-    AT_ONCE = "at once"
+    IMMEDIATELY = "immediately"
     AFTER_BACKOFF = "after backoff"
 
 
@@ -46,7 +46,7 @@
     """What an event leads to in a state."""
 
     next_state: WatchState
-    next_call: NextCall = NextCall.AT_ONCE
+    next_call: NextCall = NextCall.IMMEDIATELY
     is_failure: bool = False  # counts towards the backoff, and is reported to the exchange
 
 
@@ -70,8 +70,8 @@
     (WatchState.NOT_WATCHING, WatchEvent.REVISION_WENT_BACK): _FAILED_WITHOUT_LIST,
     (WatchState.NOT_WATCHING, WatchEvent.FULL_LIST_REQUESTED): _FULL_LIST_NEEDED,
     (WatchState.WATCHING, WatchEvent.LIST_RECEIVED): _WATCHING,
-    # The watch has stalled. The next call is made at once, so that an update missed meanwhile is known before
-    # it counts as notified.
+    # The watch has stalled. The next call is made immediately, so that an update missed meanwhile is known
+    # before it counts as notified.
     (WatchState.WATCHING, WatchEvent.CALL_TIMED_OUT): Transition(WatchState.NOT_WATCHING),
     # The watch was lost, probably by all proxies at the same moment: they must not call again together.
     (WatchState.WATCHING, WatchEvent.CALL_FAILED): Transition(
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -1,317 +1,490 @@
-"""What counts as told: by an agent from the first moment, by a watch that falls silent, after a move."""
+"""The client of discovery: which updates it knows in time, whatever discovery or a local agent does."""
 
 from __future__ import annotations
 
 import asyncio
 import json
+import math
 import time
+from itertools import product
+from random import Random
 
 import pytest
 from rig import BARE_503, SETTINGS, Party, Rig, calls_until, real
 
+from alderspool.balancer.settings import RequestClass, Settings
 from alderspool.balancer.settings_reader import read_settings
 from alderspool.program.config import flatten
-from alderspool.transport import discovery
+from alderspool.transport.discovery import DiscoveryClient
+from alderspool.transport.discovery_backoff import JitteredBackoff
+from alderspool.transport.discovery_timeouts import DiscoveryTimeouts
+from alderspool.transport.discovery_watch import (
+    TRANSITIONS,
+    NextCall,
+    RevisionWentBackError,
+    Transition,
+    WatchEvent,
+    WatchState,
+    classify_failure,
+)
 
-AGENT = {"discovery": "pushed"}
-TERM_S = 2.0  # within which a change counts as told, in some tests: a third of the pages', to be quick
+LOCAL_AGENT = {"discovery": "pushed"}
+# The time after which an update counts as notified, in some tests: a third of the protocol's, to be quick.
+UPDATE_TIME_S = 2.0
+PROXY_COUNT = 40
+BACKOFF_COUNT = 6
 
 
-def within(term_s: float) -> dict:
-    return {"rules": SETTINGS["rules"] | {"ask_within_ms": 1000.0 * term_s}}
+def with_update_time(seconds: float) -> dict:
+    """Return settings in which an update counts as notified after this time."""
+    return {"rules": SETTINGS["rules"] | {"ask_within_ms": 1000.0 * seconds}}
+
+
+def targets_of(party: Party) -> list[bytes]:
+    """Return the targets of the requests that have come in."""
+    return [request_line.split()[1] for request_line, _, _ in party.got]
+
+
+async def statuses_of_requests(rig: Rig, count: int, *args: str) -> list[int]:
+    """Return the response statuses of so many requests through the proxy, sent one after the other."""
+    return [(await rig.ask(*args))[0] for _ in range(count)]
+
+
+class RecordingExchange:
+    """In the place of the exchange; counts the failed calls."""
+
+    def __init__(self) -> None:
+        self.failures = 0
+
+    def list_received(self, endpoint_list: object) -> None:
+        pass
+
+    def list_call_failed(self, reason: str) -> None:
+        self.failures += 1
+
+
+class FailingExchange(RecordingExchange):
+    """Raises an unexpected error for each of the first lists."""
+
+    def __init__(self, errors: int) -> None:
+        super().__init__()
+        self.errors_left = errors
+        self.lists_accepted = 0
+
+    def list_received(self, endpoint_list: object) -> None:
+        if self.errors_left:
+            self.errors_left -= 1
+            raise ZeroDivisionError("unexpected")
+        self.lists_accepted += 1
+
+
+# ---- a local agent ------------------------------------------------------------------------------------
 
 
 @real
-async def test_what_the_agent_has_is_known_before_anybody_is_let_in() -> None:
-    """The list in the configuration is old: s1, ready there, drains. The agent takes a while to say so."""
-    async with Rig(Party("s1"), Party("s2"), settings=AGENT, await_ready=False) as rig:
-        old, new = rig.endpoints
+async def test_list_of_a_slow_local_agent_is_known_before_the_first_client_is_admitted() -> None:
+    """The configured list is old: it has s1 as ready, which is draining. The agent responds late."""
+    async with Rig(Party("s1"), Party("s2"), settings=LOCAL_AGENT, await_ready=False) as rig:
+        draining, ready = rig.endpoints
         await rig.asked(1)
         await asyncio.sleep(0.5)
         assert await rig.ready() is None
-        rig.tell(old.entry(status="draining"), new.entry(), index=7, snapshot=True)
+        rig.tell(draining.entry(status="draining"), ready.entry(), index=7, snapshot=True)
         await rig.until_ready()
-        assert [(await rig.ask("pay"))[0] for _ in range(6)] == [200] * 6
-        assert (len(old.got), len(new.got)) == (0, 6)
-        calls = [got[0].split()[1] for got in rig.discovery.got]
-        assert calls[0] == b"/v1/endpoints"  # whole: it need not count as we do
-        assert calls[1].startswith(b"/v1/endpoints?since=7&timeout_ms=600")
+        assert await statuses_of_requests(rig, 6, "pay") == [200] * 6
+        assert (len(draining.got), len(ready.got)) == (0, 6)
+        targets = targets_of(rig.discovery)
+        assert targets[0] == b"/v1/endpoints"  # complete: the agent's revisions need not continue ours
+        assert targets[1].startswith(b"/v1/endpoints?since=7&timeout_ms=600")
 
 
 @real
-async def test_an_agent_that_stays_silent_does_not_keep_a_proxy_from_serving() -> None:
-    async with Rig(Party("s1"), settings=AGENT) as rig:
+async def test_proxy_serves_although_the_local_agent_never_responds() -> None:
+    async with Rig(Party("s1"), settings=LOCAL_AGENT) as rig:
         assert (await rig.ask())[0] == 200
 
 
 @real
-@pytest.mark.parametrize("settings", [AGENT, {}])
-async def test_a_watch_that_falls_silent_is_opened_anew_at_once_and_hears_what_it_missed(settings) -> None:
-    """Each call that waits stays without an answer. The drain comes with the second that is answered at once;
-    the first one is the asking at the start."""
-    opened = 0
+@pytest.mark.parametrize("delay_s", [0.0, 0.4], ids=["fast agent", "slow agent"])
+async def test_update_of_an_agent_that_responds_again_is_known_at_once(delay_s: float) -> None:
+    """The agent did not respond while discovery was down; the update that it has afterwards counts at once.
+
+    One call came in just before the agent is back; the next one must not wait for that one. Nor must an
+    agent be given up that takes some time for each response.
+    """
+    is_back = asyncio.Event()
+
+    async def reply(party: Party) -> bytes | None:
+        if len(party.got) == 1:
+            return rig.list_of(draining.entry(), ready.entry(), index=4, snapshot=True)
+        if not is_back.is_set():
+            return None
+        await asyncio.sleep(delay_s)
+        return rig.list_of(draining.entry(status="draining"), index=9)
+
+    rig = Rig(Party("s1"), Party("s2"), settings=LOCAL_AGENT)
+    draining, ready = rig.endpoints
+    rig.discovery.reply = reply
+    async with rig:
+        await calls_until(rig.discovery, b"timeout_ms=1")
+        calls_before = len(rig.discovery.got)
+        while len(rig.discovery.got) < calls_before + 3:
+            await asyncio.sleep(0.001)
+        is_back.set()
+        back_at = time.monotonic()
+        await calls_until(rig.discovery, b"since=9&")
+        assert time.monotonic() - back_at < delay_s + 1.0  # 0.15 s, and what a busy machine adds
+        assert await statuses_of_requests(rig, 6, "pay") == [200] * 6
+        assert (len(draining.got), len(ready.got)) == (0, 6)
+
+
+# ---- a stalled watch ----------------------------------------------------------------------------------
+
+
+@real
+@pytest.mark.parametrize("settings", [LOCAL_AGENT, {}], ids=["local agent", "polled discovery"])
+async def test_stalled_watch_is_opened_again_at_once_and_catches_up(settings: dict) -> None:
+    """No call that waits gets a response.
+
+    The drain comes with the second call without a wait; the first one is the call at the start.
+    """
+    responses = 0
 
     def reply(party: Party) -> bytes | None:
-        nonlocal opened
+        nonlocal responses
         if b"&timeout_ms=200 " in party.got[-1][0]:
             return None
-        opened += 1
-        if opened == 1:
-            return rig.list_of(old.entry(), new.entry(), index=4, snapshot=True)
-        return rig.list_of(old.entry(status="draining"), index=9)
+        responses += 1
+        if responses == 1:
+            return rig.list_of(draining.entry(), ready.entry(), index=4, snapshot=True)
+        return rig.list_of(draining.entry(status="draining"), index=9)
 
-    rig = Rig(Party("s1"), Party("s2"), settings=settings | within(TERM_S))
-    old, new = rig.endpoints
+    rig = Rig(Party("s1"), Party("s2"), settings=settings | with_update_time(UPDATE_TIME_S))
+    draining, ready = rig.endpoints
     rig.discovery.reply = reply
     async with rig:
-        calls = await calls_until(rig.discovery, b"since=9&")
-        wanted = ("since=4&timeout_ms=200", "since=4&timeout_ms=1", "since=9&timeout_ms=200")
-        assert calls[-3:] == [
-            f"/v1/endpoints?{query}".encode() for query in wanted
-        ]  # from where it had heard last
-        assert [(await rig.ask("pay"))[0] for _ in range(6)] == [200] * 6
-        assert (len(old.got), len(new.got)) == (0, 6)
+        targets = await calls_until(rig.discovery, b"since=9&")
+        assert targets[-3:] == [
+            b"/v1/endpoints?since=4&timeout_ms=200",
+            b"/v1/endpoints?since=4&timeout_ms=1",  # from the last revision that was received
+            b"/v1/endpoints?since=9&timeout_ms=200",
+        ]
+        assert await statuses_of_requests(rig, 6, "pay") == [200] * 6
+        assert (len(draining.got), len(ready.got)) == (0, 6)
 
 
 @real
-@pytest.mark.parametrize("failure", ["silent", "refused", "garbage", "reset", "unheard of"])
-async def test_what_a_silent_watch_missed_is_heard_within_the_term_though_a_further_call_fails(
-    failure,
+@pytest.mark.parametrize("failure", ["no response", "rejected", "garbage", "reset", "unknown status"])
+async def test_update_missed_by_a_stalled_watch_is_known_in_time_although_the_next_call_fails(
+    failure: str,
 ) -> None:
-    """The watch is silent from its first moment, and the call after it fails too: as slowly as it can, at
-    once, or with what is no list; the one after that stands in discovery's queue for long. The drain is known
-    before it counts as told."""
-    heard_of: list[float] = []
+    """The watch stalls from its first moment, and the call after it fails too.
+
+    That call fails as slowly as it can, at once, or with a body that is no list. The one after it is queued
+    in discovery for long. The drain is known before it counts as notified.
+    """
+    stalled_at: float | None = None
+    calls_without_wait = 0
 
     async def reply(party: Party) -> bytes | None:
-        if not heard_of:
-            heard_of.append(0.0)
-            return rig.list_of(old.entry(), new.entry(), index=4, snapshot=True)
+        nonlocal stalled_at, calls_without_wait
+        is_first_call = len(party.got) == 1
+        if is_first_call:
+            return rig.list_of(draining.entry(), ready.entry(), index=4, snapshot=True)
         if b"&timeout_ms=1 " not in party.got[-1][0]:
-            heard_of[0] = heard_of[0] or time.monotonic()
+            stalled_at = stalled_at or time.monotonic()
             return None
-        heard_of.append(time.monotonic())
-        if len(heard_of) == 2:
-            return {
-                "silent": None,
-                "refused": BARE_503,
-                "garbage": b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{]",
-                "reset": b"",
-                "unheard of": rig.list_of({"name": "s1", "address": "127.0.0.1:1", "status": "resting"}),
-            }[failure]
-        await asyncio.sleep(0.2 * TERM_S)
-        return rig.list_of(old.entry(status="draining"), index=9)
-
-    rig = Rig(Party("s1"), Party("s2"), settings=within(TERM_S))
-    old, new = rig.endpoints
+        calls_without_wait += 1
+        if calls_without_wait == 1:
+            return failed_responses[failure]
+        await asyncio.sleep(0.2 * UPDATE_TIME_S)
+        return rig.list_of(draining.entry(status="draining"), index=9)
+
+    rig = Rig(Party("s1"), Party("s2"), settings=with_update_time(UPDATE_TIME_S))
+    failed_responses = {
+        "no response": None,
+        "rejected": BARE_503,
+        "garbage": b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{]",
+        "reset": b"",
+        "unknown status": rig.list_of({"name": "s1", "address": "127.0.0.1:1", "status": "resting"}),
+    }
+    draining, ready = rig.endpoints
     rig.discovery.reply = reply
     async with rig:
         await calls_until(rig.discovery, b"since=9&")
-        assert time.monotonic() - heard_of[0] < TERM_S
-        assert [(await rig.ask("pay"))[0] for _ in range(6)] == [200] * 6
-        assert (len(old.got), len(new.got)) == (0, 6)
+        assert stalled_at is not None
+        assert time.monotonic() - stalled_at < UPDATE_TIME_S
+        assert await statuses_of_requests(rig, 6, "pay") == [200] * 6
+        assert (len(draining.got), len(ready.got)) == (0, 6)
+
+
+# ---- revisions, and lists in unusual forms ---------------------------------------------------------------
 
 
 @real
-async def test_an_older_version_on_a_watch_has_the_whole_list_asked_for() -> None:
-    """Discovery has lost its memory and counts anew: nothing of its versions can be told from ours."""
+async def test_older_revision_on_a_watch_leads_to_a_request_for_the_complete_list() -> None:
+    """Discovery has lost its data and numbers its revisions anew: they cannot be compared with ours."""
 
     def reply(party: Party) -> bytes | None:
-        call = party.got[-1][0]
-        if b"since=" not in call:
-            return rig.list_of(new.entry(), index=2, snapshot=True)
-        if b"since=40&" in call:  # as if s1, which drains by now, had come back
-            return rig.list_of(old.entry(), index=1)
-        if b"since=2&" in call:
+        request_line = party.got[-1][0]
+        if b"since=" not in request_line:
+            return rig.list_of(ready.entry(), index=2, snapshot=True)
+        if b"since=40&" in request_line:  # as if s1, which is draining by now, were ready again
+            return rig.list_of(draining.entry(), index=1)
+        if b"since=2&" in request_line:
             return None
-        return rig.list_of(old.entry(status="draining"), new.entry(), index=40, snapshot=True)
+        return rig.list_of(draining.entry(status="draining"), ready.entry(), index=40, snapshot=True)
 
     rig = Rig(Party("s1"), Party("s2"))
-    old, new = rig.endpoints
+    draining, ready = rig.endpoints
     rig.discovery.reply = reply
     async with rig:
-        calls = await calls_until(rig.discovery, b"since=2&")
-        assert [call[:23] for call in calls[-3:]] == [
+        targets = await calls_until(rig.discovery, b"since=2&")
+        assert [target[:23] for target in targets[-3:]] == [
             b"/v1/endpoints?since=40&",
             b"/v1/endpoints",
             b"/v1/endpoints?since=2&t",
         ]
-        assert [(await rig.ask("pay"))[0] for _ in range(6)] == [200] * 6
-        assert (len(old.got), len(new.got)) == (0, 6)
+        assert await statuses_of_requests(rig, 6, "pay") == [200] * 6
+        assert (len(draining.got), len(ready.got)) == (0, 6)
 
 
 @real
-async def test_versions_that_go_back_each_time_do_not_make_a_storm_of_calls() -> None:
-    """Two that do not know of each other may answer in turn: whole lists of 40, changes of 1."""
+async def test_revisions_that_go_back_each_time_do_not_cause_a_storm_of_calls() -> None:
+    """Two services that do not know of each other may respond in turn: complete lists of 40, updates of 1."""
 
     def reply(party: Party) -> bytes:
-        whole = b"since=" not in party.got[-1][0]
-        return Rig.list_of(None, index=40 if whole else 1, snapshot=whole)
+        is_complete = b"since=" not in party.got[-1][0]
+        return Rig.list_of(None, index=40 if is_complete else 1, snapshot=is_complete)
 
-    confused = Party("discovery", reply)
-    await confused.start()
+    inconsistent = Party("discovery", reply)
+    await inconsistent.start()
     settings = read_settings(flatten(SETTINGS))
-    client = discovery.DiscoveryClient(("127.0.0.1", confused.port), Told(), settings, 40)
+    client = DiscoveryClient(("127.0.0.1", inconsistent.port), RecordingExchange(), settings, 40)
     client.watch(True)
     await asyncio.sleep(1.0)
     client.watch(False)
-    assert 4 <= len(confused.got) <= 20  # two for each wait of 0.15 s or more
-    confused.server.close()
-
-
-@real
-async def test_no_fault_of_any_kind_ends_the_asking() -> None:
-    """Whoever takes the list in fails with what nobody expected: the same news is asked for again."""
-
-    class Failing(Told):
-        left, told = 3, 0
-
-        def list_received(self, told: object) -> None:
-            self.left -= 1
-            if self.left >= 0:
-                raise ZeroDivisionError("nobody expected that")
-            self.told += 1
-
-    up = Party("discovery", Rig.list_of(None, index=7))
-    await up.start()
-    exchange = Failing()
-    settings = read_settings(flatten(SETTINGS | within(0.2)))
-    client = discovery.DiscoveryClient(("127.0.0.1", up.port), exchange, settings, 5)
-    client.watch(True)
-    while not exchange.told:
-        await asyncio.sleep(0.005)
-    assert exchange.failures == 3 and {got[0].split()[1] for got in up.got[:4]} == {
-        b"/v1/endpoints?since=5&timeout_ms=1"
-    }
-    client.watch(False)
-    up.server.close()
+    assert 4 <= len(inconsistent.got) <= 20  # two for each backoff of 0.15 s or more
+    inconsistent.server.close()
 
 
 @real
-@pytest.mark.parametrize("slow", [0.0, 0.4])
-async def test_an_agent_that_is_back_is_heard_at_once(slow: float) -> None:
-    """It was silent while discovery was down, to watches and other calls alike; what it has at its return
-    counts as told at once. A call has just come as it is back; the next one must not wait for that one. Nor
-    must an agent be left for good that takes a while for each answer."""
-    back = asyncio.Event()
+async def test_indented_list_is_read() -> None:
+    async with Rig(Party("s1"), Party("s2")) as rig:
+        removed, ready = rig.endpoints
+        await rig.asked(1)
+        rig.tell_raw(rig.list_of(ready.entry(), index=5, snapshot=True, indent="\t"))
+        await rig.asked(2)
+        assert await statuses_of_requests(rig, 4) == [200] * 4
+        assert (len(removed.got), len(ready.got)) == (0, 4)
 
-    async def reply(party: Party) -> bytes | None:
-        if len(party.got) == 1:
-            return rig.list_of(old.entry(), new.entry(), index=4, snapshot=True)
-        if not back.is_set():
-            return None
-        await asyncio.sleep(slow)
-        return rig.list_of(old.entry(status="draining"), index=9)
 
-    rig = Rig(Party("s1"), Party("s2"), settings=AGENT)
-    old, new = rig.endpoints
-    rig.discovery.reply = reply
-    async with rig:
-        await calls_until(rig.discovery, b"timeout_ms=1")
-        known = len(rig.discovery.got)
-        while len(rig.discovery.got) < known + 3:
-            await asyncio.sleep(0.001)
-        back.set()
-        returned = time.monotonic()
-        await calls_until(rig.discovery, b"since=9&")
-        assert time.monotonic() - returned < slow + 1.0  # 0.15 s, and what a busy machine adds
-        assert [(await rig.ask("pay"))[0] for _ in range(6)] == [200] * 6
-        assert (len(old.got), len(new.got)) == (0, 6)
+# ---- failures -------------------------------------------------------------------------------------------
 
 
 @real
-async def test_a_list_may_come_indented() -> None:
-    async with Rig(Party("s1"), Party("s2")) as rig:
-        old, new = rig.endpoints
-        await rig.asked(1)
-        rig.tell_raw(rig.list_of(new.entry(), index=5, snapshot=True, indent="\t"))
-        await rig.asked(2)
-        assert [(await rig.ask())[0] for _ in range(4)] == [200] * 4
-        assert (len(old.got), len(new.got)) == (0, 4)
+async def test_unexpected_errors_do_not_end_the_watch() -> None:
+    """The exchange fails with an error that nobody expected: the same update is requested again."""
+    discovery = Party("discovery", Rig.list_of(None, index=7))
+    await discovery.start()
+    exchange = FailingExchange(errors=3)
+    settings = read_settings(flatten(SETTINGS | with_update_time(0.2)))
+    client = DiscoveryClient(("127.0.0.1", discovery.port), exchange, settings, 5)
+    client.watch(True)
+    while not exchange.lists_accepted:
+        await asyncio.sleep(0.005)
+    assert exchange.failures == 3
+    assert set(targets_of(discovery)[:4]) == {b"/v1/endpoints?since=5&timeout_ms=1"}
+    client.watch(False)
+    discovery.server.close()
 
 
 @real
-async def test_a_move_to_one_that_resets_then_is_silent_then_has_an_older_version() -> None:
-    """The old list holds meanwhile, and whatever its number, the first whole list of the new one counts."""
+async def test_move_to_a_discovery_that_resets_then_stalls_then_has_an_older_revision() -> None:
+    """The old list stays valid meanwhile.
+
+    The first complete list of the new discovery counts, whatever its revision.
+    """
 
     def reply(party: Party) -> bytes | None:
-        number = len(party.got)
-        if number == 3:
+        call_number = len(party.got)
+        if call_number == 3:
             return rig.list_of(new.entry(), index=0, snapshot=True)
-        return b"" if number == 1 else None
+        return b"" if call_number == 1 else None
 
-    moved = Party("discovery-2", reply)
-    await moved.start()
+    second_discovery = Party("discovery-2", reply)
+    await second_discovery.start()
     async with Rig(Party("s1"), Party("s2")) as rig:
         old, new = rig.endpoints
         rig.tell(old.entry(), index=99, snapshot=True)
         await rig.asked(2)
-        rig.reload(json.dumps(rig.config | {"discovery": f"127.0.0.1:{moved.port}"}))
-        while len(moved.got) < 3:
-            assert (await rig.ask())[0] == 200 and not new.got
+        rig.reload(json.dumps(rig.config | {"discovery": f"127.0.0.1:{second_discovery.port}"}))
+        while len(second_discovery.got) < 3:
+            assert (await rig.ask())[0] == 200
+            assert not new.got
             await asyncio.sleep(0.02)
-        while len(moved.got) < 4:
+        while len(second_discovery.got) < 4:
             await asyncio.sleep(0.005)
-        before = len(old.got)
-        assert [(await rig.ask())[0] for _ in range(4)] == [200] * 4
-        assert (len(old.got), len(new.got)) == (before, 4)
-        calls = [got[0].split()[1] for got in moved.got]
-        assert calls[:3] == [b"/v1/endpoints"] * 3 and calls[3].startswith(b"/v1/endpoints?since=0&")
-    moved.server.close()
-
-
-class Told:
-    """In the exchange's place."""
-
-    failures = 0
-
-    def list_received(self, told: object) -> None:
-        pass
-
-    def list_call_failed(self, why: str) -> None:
-        self.failures += 1
+        old_count = len(old.got)
+        assert await statuses_of_requests(rig, 4) == [200] * 4
+        assert (len(old.got), len(new.got)) == (old_count, 4)
+        targets = targets_of(second_discovery)
+        assert targets[:3] == [b"/v1/endpoints"] * 3
+        assert targets[3].startswith(b"/v1/endpoints?since=0&")
+    second_discovery.server.close()
 
 
 @real
-@pytest.mark.parametrize("what", ["moved", "reset"])
-async def test_all_who_fail_together_do_not_ask_discovery_together(what: str, monkeypatch) -> None:
-    """Forty proxies are moved to a discovery that fails each call, or lose their watches to one that does
-    from then on: their waits differ, double, and stay bounded."""
-    waits: dict[int, list[float]] = {}
-    heard: set[bytes] = set()
+@pytest.mark.parametrize(
+    ("is_moved", "longest_delays"),
+    [
+        pytest.param(True, (0.3, 0.6, 1.2, 1.2, 1.2, 1.2), id="moved"),
+        pytest.param(False, (0.3, 0.3, 0.6, 1.2, 1.2, 1.2), id="watch reset"),
+    ],
+)
+async def test_proxies_that_fail_together_do_not_call_discovery_together(
+    is_moved: bool, longest_delays: tuple[float, ...], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The delays of forty proxies differ, double, and stay bounded.
+
+    They are moved to a discovery that fails each call, or lose their watches to one that fails each call from
+    then on.
+    """
+    delays: dict[int, list[float]] = {}
+    revisions_sent: set[bytes] = set()
 
     def reply(party: Party) -> bytes:
         since = party.got[-1][0].partition(b"since=")[2].partition(b"&")[0]
-        if not since or since in heard:
-            return BARE_503 if what == "moved" else b""
-        heard.add(since)
+        if not since or since in revisions_sent:
+            return BARE_503 if is_moved else b""
+        revisions_sent.add(since)
         return Rig.list_of(None, index=int(since))
 
-    async def record(seconds: float, sleep=asyncio.sleep) -> None:
-        task = asyncio.current_task().get_name()
-        if task.isdigit():  # one of ours, not the scripted discovery's
-            waits.setdefault(int(task), []).append(seconds)
-            if len(waits[int(task)]) >= 6:
+    async def record_delay(seconds: float, sleep=asyncio.sleep) -> None:
+        task_name = asyncio.current_task().get_name()
+        if task_name.isdigit():  # a client's watch, not the scripted discovery
+            client_delays = delays.setdefault(int(task_name), [])
+            client_delays.append(seconds)
+            if len(client_delays) >= BACKOFF_COUNT:
                 raise asyncio.CancelledError
         await sleep(0.0)
 
     failing = Party("discovery", reply)
     await failing.start()
-    monkeypatch.setattr(asyncio, "sleep", record)
-    settings, clients = read_settings(flatten(SETTINGS)), []
-    place = ("127.0.0.1", failing.port)
-    for seed in range(40):
-        first = ("127.0.0.1", 9) if what == "moved" else place
-        client = discovery.DiscoveryClient(first, Told(), settings, seed, seed)
-        client.move_to(place) if what == "moved" else client.watch(True)
+    monkeypatch.setattr(asyncio, "sleep", record_delay)
+    settings = read_settings(flatten(SETTINGS))
+    address = ("127.0.0.1", failing.port)
+    watch_tasks = []
+    for seed in range(PROXY_COUNT):
+        first_address = ("127.0.0.1", 9) if is_moved else address
+        client = DiscoveryClient(first_address, RecordingExchange(), settings, seed, seed)
+        if is_moved:
+            client.move_to(address)
+        else:
+            client.watch(True)
         client._watch_task.set_name(str(seed))
-        clients.append(client)
-    await asyncio.gather(*(c._watch_task for c in clients), return_exceptions=True)
-    assert len(heard) == (0 if what == "moved" else 40)
-    assert failing.opened == 6 * 40  # one before each wait: no call dials twice
-    wanted = (0.3, 0.6, 1.2, 1.2, 1.2, 1.2) if what == "moved" else (0.3, 0.3, 0.6, 1.2, 1.2, 1.2)
-    for n, most in enumerate(wanted):
-        nth = [waits[seed][n] for seed in range(40)]
-        assert all(most / 2 <= wait <= most for wait in nth)
-        assert len({round(20 * wait / most) for wait in nth}) > 5  # spread over the range, in no waves
+        watch_tasks.append(client._watch_task)
+    await asyncio.gather(*watch_tasks, return_exceptions=True)
+
+    assert len(revisions_sent) == (0 if is_moved else PROXY_COUNT)
+    assert failing.opened == BACKOFF_COUNT * PROXY_COUNT  # one before each delay: no call connects twice
+    for number, longest in enumerate(longest_delays):
+        nth_delays = [delays[seed][number] for seed in range(PROXY_COUNT)]
+        assert all(longest / 2 <= delay <= longest for delay in nth_delays)
+        assert len({round(20 * delay / longest) for delay in nth_delays}) > 5  # spread, not in waves
     failing.server.close()
+
+
+# ---- the watch's state machine, without I/O --------------------------------------------------------------
+
+
+def test_every_event_has_a_transition_in_every_state() -> None:
+    """A missing entry would end the watch."""
+    assert set(TRANSITIONS) == set(product(WatchState, WatchEvent))
+
+
+@pytest.mark.parametrize(
+    ("state", "event", "expected"),
+    [
+        pytest.param(
+            WatchState.WATCHING,
+            WatchEvent.CALL_TIMED_OUT,
+            Transition(WatchState.NOT_WATCHING, NextCall.IMMEDIATELY, is_failure=False),
+            id="stalled watch",
+        ),
+        pytest.param(
+            WatchState.WATCHING,
+            WatchEvent.CALL_FAILED,
+            Transition(WatchState.NOT_WATCHING, NextCall.AFTER_BACKOFF, is_failure=False),
+            id="lost watch",
+        ),
+        pytest.param(
+            WatchState.NOT_WATCHING,
+            WatchEvent.CALL_TIMED_OUT,
+            Transition(WatchState.NOT_WATCHING, NextCall.AFTER_BACKOFF, is_failure=True),
+            id="slow call without a watch",
+        ),
+        pytest.param(
+            WatchState.FULL_LIST_NEEDED,
+            WatchEvent.CALL_FAILED,
+            Transition(WatchState.FULL_LIST_NEEDED, NextCall.AFTER_BACKOFF, is_failure=True),
+            id="failed request for the complete list",
+        ),
+    ],
+)
+def test_transition_after_a_failed_call(state: WatchState, event: WatchEvent, expected: Transition) -> None:
+    assert TRANSITIONS[state, event] == expected
+
+
+@pytest.mark.parametrize("state", WatchState, ids=lambda state: state.value)
+def test_list_opens_the_watch_from_every_state(state: WatchState) -> None:
+    assert TRANSITIONS[state, WatchEvent.LIST_RECEIVED] == Transition(WatchState.WATCHING)
+
+
+@pytest.mark.parametrize("state", WatchState, ids=lambda state: state.value)
+def test_older_revision_leads_to_the_complete_list_after_a_backoff(state: WatchState) -> None:
+    assert TRANSITIONS[state, WatchEvent.REVISION_WENT_BACK] == Transition(
+        WatchState.FULL_LIST_NEEDED, NextCall.AFTER_BACKOFF, is_failure=True
+    )
+
+
+@pytest.mark.parametrize(
+    ("error", "event"),
+    [
+        pytest.param(TimeoutError(), WatchEvent.CALL_TIMED_OUT, id="timeout"),
+        pytest.param(RevisionWentBackError("1 after 2"), WatchEvent.REVISION_WENT_BACK, id="revision"),
+        pytest.param(ConnectionResetError(), WatchEvent.CALL_FAILED, id="reset"),
+        pytest.param(ZeroDivisionError(), WatchEvent.CALL_FAILED, id="unexpected"),
+    ],
+)
+def test_error_is_classified(error: Exception, event: WatchEvent) -> None:
+    assert classify_failure(error) is event
+
+
+# ---- timeouts and backoff --------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    ("list_max_age_ms", "total_s"),
+    [
+        pytest.param(0.0, 6.0, id="not stated"),
+        pytest.param(10000.0, 6.0, id="longer than the protocol's"),
+        pytest.param(2000.0, 2.0, id="shorter than the protocol's"),
+    ],
+)
+def test_second_call_after_a_stalled_watch_starts_in_time(list_max_age_ms: float, total_s: float) -> None:
+    settings = Settings([RequestClass("look", 400.0, 1000.0)], list_max_age_ms=list_max_age_ms)
+    timeouts = DiscoveryTimeouts.from_settings(settings)
+    until_second_call_s = (
+        timeouts.watch_wait_s + timeouts.watch_grace_s + timeouts.call_s + timeouts.initial_backoff_s
+    )
+    assert math.isclose(until_second_call_s, 0.73 * total_s)
+
+
+@pytest.mark.parametrize(
+    ("failures", "longest_s"), [(0, 0.3), (1, 0.3), (2, 0.6), (3, 1.2), (4, 1.2), (10000, 1.2)]
+)
+def test_backoff_doubles_up_to_its_maximum(failures: int, longest_s: float) -> None:
+    backoff = JitteredBackoff(0.3, 1.2, Random(1))
+    expected = longest_s * (0.5 + 0.5 * Random(1).random())
+    assert backoff.delay_s(failures) == expected
