--- a/alderspool/lab/emulator/wire.py
+++ b/alderspool/lab/emulator/wire.py
@@ -9,7 +9,7 @@
 
 import httptools
 
-from alderspool.protocol.http_parts import HttpMessageCollector
+from alderspool.protocol.http_parts import HttpFault, HttpMessageCollector
 
 BODY_LIMIT = 64 * 1024
 
@@ -34,7 +34,7 @@
         try:
             self.feed(self._parser, data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as fault:
-            self.fault = self.fault or (400, str(fault))
+            self.fault = self.fault or HttpFault(400, str(fault))
         whole, self._whole = self._whole, []
         return whole
 
--- a/alderspool/protocol/downstream.py
+++ b/alderspool/protocol/downstream.py
@@ -11,7 +11,7 @@
 
 from alderspool.balancer.settings import Idempotency, Settings
 from alderspool.protocol.endpoint_list import as_setting
-from alderspool.protocol.http_parts import HttpMessageCollector
+from alderspool.protocol.http_parts import HttpFault, HttpMessageCollector
 from alderspool.protocol.upstream import BODY_LIMIT, HOP_BY_HOP, ForwardedRequest, UpstreamResponse
 from alderspool.routing.messages import ClientRequest, Failed, FinalResponse, Rejected, Served
 
@@ -177,13 +177,13 @@
                 data = data[int(pause.args[0]) :]
                 self._parser = httptools.HttpRequestParser(self)
             except httptools.HttpParserError as fault:
-                self.fault = (400, str(fault))
+                self.fault = HttpFault(400, str(fault))
 
     def head_done(self) -> None:
         seen = {name for name, _ in self.headers}
         version = self._parser.get_http_version()
         if version not in ("1.0", "1.1") or version == "1.1" and b"host" not in seen:
-            self.fault = self.fault or (400, "no HTTP/1.1, or without Host")
+            self.fault = self.fault or HttpFault(400, "no HTTP/1.1, or without Host")
         self._awaits_go_on = b"expect" in seen and (b"expect", b"100-continue") in self.headers
 
     def message_done(self) -> None:
@@ -233,7 +233,7 @@
         """For a request of which a part is still missing after too long."""
         if self._taken is not None or self._broken:
             return None
-        self.fault, self._broken = (408, "request not whole in time"), True
+        self.fault, self._broken = HttpFault(408, "request not whole in time"), True
         return InvalidRequest(*self.fault)
 
     def go_on(self) -> bytes:
