--- a/alderspool/routing/__init__.py
+++ b/alderspool/routing/__init__.py
@@ -1,1 +1,1 @@
-"""Carries requests from clients to endpoints as the decision module says. Knows no HTTP."""
+"""Carries requests from clients to endpoints as the balancer decides. Knows no HTTP."""
--- a/alderspool/routing/clock.py
+++ b/alderspool/routing/clock.py
@@ -1,23 +1,28 @@
-"""The one clock: monotonic milliseconds, anchored once to Unix time."""
+"""The one clock of the proxy: monotonic milliseconds, anchored once to Unix time."""
 
 from __future__ import annotations
 
-import time
+from time import monotonic, time
+
+MS_PER_S = 1000.0
 
 
 class Clock:
-    """Never runs backwards, and reads Unix time as of its start.
+    """A clock that never runs backwards and reads Unix time as of its creation, in milliseconds.
 
-    So discovery's `since_ms` needs no conversion that could wander: a second reading of the
-    offset would differ by a jitter that looks like a restart of the machine.
+    Discovery states start times of endpoints (`since_ms`) in Unix time. They need no conversion on this
+    clock. The offset is read once: a second reading would differ by some jitter, and a start time that
+    moves looks like a restart of the endpoint.
     """
 
     def __init__(self) -> None:
-        self._offset_ms = (time.time() - time.monotonic()) * 1000.0
+        """Anchor the clock to the current Unix time."""
+        self._offset_ms = (time() - monotonic()) * MS_PER_S
 
     def now(self) -> float:
-        return time.monotonic() * 1000.0 + self._offset_ms
+        """Return the current time in milliseconds."""
+        return monotonic() * MS_PER_S + self._offset_ms
 
     def loop_time(self, at_ms: float) -> float:
-        """The same moment on the event loop's clock, in seconds."""
-        return (at_ms - self._offset_ms) / 1000.0
+        """Return the same moment on the event loop's clock, in seconds."""
+        return (at_ms - self._offset_ms) / MS_PER_S
--- a/alderspool/routing/messages.py
+++ b/alderspool/routing/messages.py
@@ -1,4 +1,8 @@
-"""What crosses the exchange: plain values, the same for every protocol."""
+"""The values and protocols at the border of the exchange; the same for every wire protocol.
+
+The client side and the endpoint side know each other only through these types. Times are milliseconds;
+points in time are on the clock of `alderspool.routing.clock`.
+"""
 
 from __future__ import annotations
 
@@ -9,43 +13,42 @@
 from alderspool.balancer.events import EndpointEntry, EndpointId
 
 
-def _stays() -> bool:
+def _never_disconnected() -> bool:
     return False
 
 
 @dataclass(slots=True)
 class ClientRequest:
-    """One request of a client. `payload` is the protocol's own and passes through unread. `gone`: whether
-    its client has left by now; asked just before each attempt of it is written."""
-
-    cls: int
-    tenant: int
-    key: int
-    time_left_ms: float
-    payload: Any
-    client_request_id: bytes = b""  # the client's own id of it, unique among what is open; b"": none
+    """One request of a client, as the client side submits it."""
+
+    cls: int  # index into Settings.classes
+    tenant: int  # index into Settings.tenants
+    key: int  # 0: none
+    time_left_ms: float  # until its deadline
+    payload: Any  # belongs to the wire protocol; the exchange passes it through unread
+    client_request_id: bytes = b""  # the client's own id, unique among the pending requests; b"": none
     is_retry: bool = False
-    cost_hint_ms: float = 0.0
-    is_disconnected: Callable[[], bool] = _stays
+    cost_hint_ms: float = 0.0  # 0: none
+    is_disconnected: Callable[[], bool] = _never_disconnected  # called just before each attempt is written
 
 
 @dataclass(slots=True)
 class Served:
-    """An endpoint's answer; `payload` is the protocol's own."""
+    """Final response: an endpoint served the request."""
 
-    payload: Any
+    payload: Any  # belongs to the wire protocol
 
 
 @dataclass(slots=True)
 class Rejected:
-    """Refused: trying again is harmless."""
+    """Final response: rejected; a retry is harmless."""
 
-    retry_after_ms: float = 0.0  # 0 = no advice
+    retry_after_ms: float = 0.0  # 0: no advice
 
 
 @dataclass(slots=True)
 class Failed:
-    """Failed, with no word on whether it ran."""
+    """Final response: failed; the request may have run or not."""
 
     timed_out: bool = False
 
@@ -56,7 +59,7 @@
 
 @dataclass(slots=True)
 class Endpoint:
-    """One line of the endpoint list, with the address that this proxy reaches it at."""
+    """One line of the endpoint list, with the address at which this proxy reaches the endpoint."""
 
     entry: EndpointEntry
     host: str
@@ -65,7 +68,7 @@
 
 @dataclass(slots=True)
 class EndpointList:
-    """What discovery said: the whole list, or what changed."""
+    """A response of discovery: the complete list, or what changed in it."""
 
     revision: int
     is_complete: bool
@@ -74,42 +77,48 @@
 
 @dataclass(slots=True, eq=False)
 class Attempt:
-    """One attempt of a request at one endpoint."""
+    """One attempt of a request at one endpoint.
+
+    Created by the exchange; the endpoint side sets `written` and `transport_handle`.
+    """
 
     request_id: int
     number: int  # among the attempts of its request, from 0
     endpoint: EndpointId
     host: str
     port: int
-    payload: Any
+    payload: Any  # of the ClientRequest
     started_at: float
     expires_at: float
-    written: bool = False  # its last byte was handed over: it may have run
+    written: bool = False  # its last byte was handed to the transport: it may have run
     ended: bool = False
-    transport_handle: Any = None  # the endpoint side's own handle
+    transport_handle: Any = None  # the endpoint side's own
 
 
 class Upstream(Protocol):
     """The endpoint side, as the exchange sees it."""
 
     def dispatch(self, attempt: Attempt) -> None:
-        """Sends it off; its end is told to the exchange, unless it is withdrawn before."""
+        """Send an attempt to its endpoint.
+
+        Its end is reported by `Exchange.attempt_ended`, unless the attempt is cancelled before.
+        """
 
     def cancel(self, attempt: Attempt) -> None:
-        """Stops waiting for it, by closing its connection."""
+        """Stop waiting for the response to an attempt, and close its connection."""
 
     def close_idle(self, endpoint: EndpointId) -> None:
-        """Closes the idle connections to a node."""
+        """Close the idle connections to an endpoint."""
 
     def probe(self, endpoint: EndpointId, host: str, port: int) -> None:
-        """Asks a node for its health; the result is told to the exchange."""
+        """Send a health check; its result is reported by `Exchange.health_check_ended`."""
 
 
 class Discovery(Protocol):
     """The source of the endpoint list, as the exchange sees it."""
 
     def watch(self, on: bool) -> None:
-        """Starts or ends the watch on changes."""
+        """Start or end the watch for changes of the endpoint list."""
 
     def fetch(self) -> None:
-        """Asks for the whole list once."""
+        """Poll the complete endpoint list once."""
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -1,18 +1,22 @@
-"""The exchange with scripted decisions and no sockets: order, deadlines, and exactly one answer."""
+"""The exchange with a scripted balancer and no sockets: order, deadlines, and exactly one final response."""
 
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
 
+import pytest
 from loguru import logger
 from rig import SETTINGS, real
 
-from alderspool.balancer.actions import Cancel, Fail, Log, Reject, Send
+from alderspool.balancer.actions import Action, Cancel, Fail, Log, Reject, Send
 from alderspool.balancer.events import (
     AttemptStatus,
     Availability,
     ClientDisconnected,
     EndpointEntry,
+    Event,
     Outcome,
     Request,
 )
@@ -26,44 +30,61 @@
     Endpoint,
     EndpointList,
     Failed,
+    FinalResponse,
     Rejected,
     Served,
 )
 
-S = AttemptStatus
+POLL_INTERVAL_S = 0.005
+LONG_TIME_LEFT_MS = 20000.0
 
+Script = dict[type, Callable[[Event], list[Action]]]
 
-class Script:
-    """In the Balancer's place: `actions` maps an event's type to what it answers with."""
 
-    def __init__(self, actions: dict) -> None:
-        self.actions, self.events, self.inside, self.begin = actions, [], False, True
+class ScriptedBalancer:
+    """Responds to each type of event as the script says, and asserts that it is never re-entered."""
 
-    def start(self, now: float) -> list:
+    def __init__(self, script: Script) -> None:
+        self.script = script
+        self.events: list[Event] = []
+        self.is_handling = False
+        self.allows_writes = True
+
+    def start(self, now: float) -> list[Action]:
         return []
 
     def may_begin(self, now: float, request_id: int) -> bool:
-        return self.begin
+        return self.allows_writes
 
-    def handle(self, now: float, event: object) -> list:
-        assert not self.inside
-        self.inside = True
+    def handle(self, now: float, event: Event) -> list[Action]:
+        assert not self.is_handling
+        self.is_handling = True
         self.events.append(event)
-        given = self.actions.get(type(event), [])
-        given = given(event) if callable(given) else given
-        self.inside = False
-        return given
+        decide = self.script.get(type(event))
+        actions = decide(event) if decide else []
+        self.is_handling = False
+        return actions
+
+    def last_outcome(self) -> tuple[AttemptStatus, bool]:
+        """Status and `finished` of the last event, which has to be an outcome."""
+        outcome = self.events[-1]
+        assert isinstance(outcome, Outcome)
+        return AttemptStatus(outcome.status), outcome.finished
 
 
 class ScriptedUpstream:
+    """Writes each attempt at once, unless `is_dialling`; the test ends the attempts."""
+
     def __init__(self) -> None:
-        self.sent: list[Attempt] = []
+        self.dispatched: list[Attempt] = []
         self.cancelled: list[Attempt] = []
         self.closed: list[bytes] = []
+        self.is_dialling = False
 
     def dispatch(self, attempt: Attempt) -> None:
-        self.sent.append(attempt)
-        attempt.written = True
+        self.dispatched.append(attempt)
+        if not self.is_dialling:
+            attempt.written = True
 
     def cancel(self, attempt: Attempt) -> None:
         self.cancelled.append(attempt)
@@ -72,210 +93,348 @@
         self.closed.append(endpoint)
 
 
-class Watches:
-    on = None
+class RecordedDiscovery:
+    is_watching: bool | None = None
 
     def watch(self, on: bool) -> None:
-        self.on = on
+        self.is_watching = on
+
+
+@dataclass
+class Setup:
+    exchange: Exchange
+    balancer: ScriptedBalancer
+    upstream: ScriptedUpstream
+    discovery: RecordedDiscovery
+    responses: list[FinalResponse] = field(default_factory=list)
+
+    def submit(self, request: ClientRequest) -> int:
+        return self.exchange.submit(request, self.responses.append)
 
+    async def wait_for_response(self) -> None:
+        while not self.responses:
+            await asyncio.sleep(POLL_INTERVAL_S)
 
-def endpoint_list(*names: bytes, state: int = Availability.READY, revision: int = 1) -> EndpointList:
-    return EndpointList(
-        revision, True, [Endpoint(EndpointEntry(n, availability=state), "127.0.0.1", 1) for n in names]
+
+def set_up(script: Script, **settings: object) -> Setup:
+    """Start an exchange with the endpoints s1 and s2 ready."""
+    balancer = ScriptedBalancer(script)
+    exchange = Exchange(
+        read_settings(flatten(SETTINGS) | settings),
+        1,
+        Clock(),
+        create_balancer=lambda settings, seed: balancer,
     )
+    upstream = ScriptedUpstream()
+    discovery = RecordedDiscovery()
+    exchange.start(upstream, discovery, endpoint_list(b"s1", b"s2"))
+    return Setup(exchange, balancer, upstream, discovery)
+
+
+def endpoint_list(
+    *ids: bytes, availability: Availability = Availability.READY, revision: int = 1
+) -> EndpointList:
+    """Return a complete list."""
+    endpoints = [Endpoint(EndpointEntry(id_, availability=availability), "127.0.0.1", 1) for id_ in ids]
+    return EndpointList(revision, True, endpoints)
+
+
+def list_delta(endpoint: Endpoint, revision: int) -> EndpointList:
+    return EndpointList(revision, False, [endpoint])
 
 
-def bench(actions: dict, **settings: object) -> tuple[Exchange, Script, ScriptedUpstream, list]:
-    exchange = Exchange(read_settings(flatten(SETTINGS) | settings), 1, Clock())
-    exchange._balancer = script = Script(actions)
-    upstream, answers = ScriptedUpstream(), []
-    exchange.start(upstream, Watches(), endpoint_list(b"s1", b"s2"))
-    return exchange, script, upstream, answers
+def client_request(time_left_ms: float = LONG_TIME_LEFT_MS, client_request_id: bytes = b"") -> ClientRequest:
+    return ClientRequest(1, 0, 0, time_left_ms, "payload", client_request_id)
 
 
-def submission(wait: float = 20000.0) -> ClientRequest:
-    return ClientRequest(1, 0, 0, wait, "payload")
+def send_to_s1(event: Event) -> list[Action]:
+    return [Send(event.id, b"s1")]
 
 
-SEND = {Request: lambda e: [Send(e.id, b"s1")]}
+SEND = {Request: send_to_s1}
+
+
+# ---- final responses -----------------------------------------------------------------------------
 
 
 @real
-async def test_the_first_served_attempt_answers_and_later_ends_change_nothing() -> None:
-    copies = {Request: lambda e: [Send(e.id, b"s1"), Send(e.id, b"s2")]}
-    exchange, script, upstream, answers = bench(copies)
-    exchange.submit(submission(), answers.append)
-    one, two = upstream.sent
-    exchange.attempt_ended(two, S.OK, "answer")
-    exchange.attempt_ended(two, S.RESET)
-    exchange.attempt_ended(one, S.OK, "late")
-    assert answers == [Served("answer")]
-    assert [(e.attempt, e.status, e.finished) for e in script.events[2:]] == [
-        (1, S.OK, True),
-        (0, S.OK, True),
+async def test_first_served_attempt_gives_the_final_response_and_later_ends_change_nothing() -> None:
+    setup = set_up({Request: lambda event: [Send(event.id, b"s1"), Send(event.id, b"s2")]})
+    setup.submit(client_request())
+    first, hedge = setup.upstream.dispatched
+
+    setup.exchange.attempt_ended(hedge, AttemptStatus.OK, "response")
+    setup.exchange.attempt_ended(hedge, AttemptStatus.RESET)
+    setup.exchange.attempt_ended(first, AttemptStatus.OK, "late")
+
+    assert setup.responses == [Served("response")]
+    assert [(event.attempt, event.status, event.finished) for event in setup.balancer.events[2:]] == [
+        (1, AttemptStatus.OK, True),
+        (0, AttemptStatus.OK, True),
     ]
-    assert exchange.pending_count == 0
+    assert setup.exchange.pending_count == 0
 
 
 @real
-async def test_a_silent_attempt_ends_at_the_deadline_and_the_module_says_how() -> None:
-    exchange, script, upstream, answers = bench(SEND | {Outcome: lambda e: [Fail(e.id), Reject(e.id)]})
-    exchange.submit(submission(30.0), answers.append)
-    while not answers:
-        await asyncio.sleep(0.005)
-    assert answers == [Failed(timed_out=True)] and upstream.cancelled == upstream.sent
-    assert (script.events[-1].status, script.events[-1].finished) == (S.TIMEOUT, False)
+async def test_only_the_first_of_two_conclusions_of_the_balancer_counts() -> None:
+    setup = set_up({Request: lambda event: [Reject(event.id, 250.0), Fail(event.id)]})
+
+    setup.submit(client_request())
+
+    assert setup.responses == [Rejected(250.0)]
+    assert (setup.exchange.counts.rejected, setup.exchange.counts.failed) == (1, 0)
 
 
 @real
-async def test_a_time_out_of_its_own_ends_a_attempt_unwritten_ones_as_never_sent() -> None:
-    exchange, script, upstream, answers = bench({Request: lambda e: [Send(e.id, b"s1", 20.0)]})
-    upstream.dispatch = upstream.sent.append  # still dialling
-    exchange.submit(submission(), answers.append)
-    while len(script.events) < 3:
-        await asyncio.sleep(0.005)
-    assert (script.events[-1].status, script.events[-1].finished) == (S.NEVER_SENT, False)
+async def test_response_callback_that_raises_does_not_keep_the_outcome_from_the_balancer() -> None:
+    setup = set_up(SEND)
+    setup.exchange.submit(client_request(), lambda response: 1 / 0)
+
+    setup.exchange.attempt_ended(setup.upstream.dispatched[0], AttemptStatus.OK, "response")
+
+    assert setup.balancer.last_outcome() == (AttemptStatus.OK, True)
+    assert setup.exchange.pending_count == 0
 
 
 @real
-async def test_what_the_module_leaves_unanswered_or_fails_on_is_answered_all_the_same() -> None:
-    for actions in ({}, {Request: lambda e: 1 / 0}):
-        exchange, _, _, answers = bench(actions)
-        exchange.submit(submission(20.0), answers.append)
-        while not answers:
-            await asyncio.sleep(0.005)
-        assert answers == [Failed(timed_out=True)] and exchange.pending_count == 0
+async def test_client_request_id_stays_pending_until_the_last_attempt_has_ended() -> None:
+    setup = set_up(SEND)
+    request_id = setup.submit(client_request(client_request_id=b"r-1"))
+    assert setup.exchange.is_pending(b"r-1")
+    assert not setup.exchange.is_pending(b"r-2")
+
+    setup.exchange.client_disconnected(request_id)
+    assert setup.exchange.is_pending(b"r-1")
+
+    setup.exchange.attempt_ended(setup.upstream.dispatched[0], AttemptStatus.OK, "response")
+    assert not setup.exchange.is_pending(b"r-1")
 
 
 @real
-async def test_nothing_is_sent_to_a_node_that_drains_nor_written_once_a_dial_has_crossed_the_drain() -> None:
-    exchange, script, upstream, answers = bench(SEND)
-    exchange.submit(submission(), answers.append)
-    (attempt,) = upstream.sent
-    assert exchange.may_write(attempt)
-    exchange.list_received(endpoint_list(b"s1", state=Availability.DRAINING))
-    assert not exchange.may_write(attempt) and set(upstream.closed) == {b"s1", b"s2"}
-    exchange.submit(submission(), answers.append)
-    assert len(upstream.sent) == 1
-    assert (script.events[-1].status, script.events[-1].finished) == (S.NEVER_SENT, False)
+async def test_rejects_requests_over_max_pending_without_the_balancer() -> None:
+    setup = set_up(SEND, **{"bounds.max_open": "1"})
+    setup.submit(client_request())
+    events_before = len(setup.balancer.events)
+
+    setup.submit(client_request())
+
+    assert setup.responses == [Rejected()]
+    assert len(setup.balancer.events) == events_before
 
 
 @real
-async def test_a_client_that_went_away_is_owed_nothing_and_its_attempts_are_withdrawn() -> None:
-    exchange, script, upstream, answers = bench(SEND | {ClientDisconnected: lambda e: [Cancel(e.id, 0)]})
-    exchange.client_disconnected(exchange.submit(submission(), answers.append))
-    assert upstream.cancelled == upstream.sent and answers == [] and exchange.pending_count == 0
-    assert (script.events[-1].status, script.events[-1].finished) == (S.CANCELLED, True)
+async def test_fail_pending_fails_all_pending_requests_and_rejects_later_ones() -> None:
+    """One request is at an endpoint, one is queued by the balancer, and one had its response before."""
+    setup = set_up({Request: lambda event: [Send(event.id, b"s1")] if event.id != 2 else []})
+    for _ in range(3):
+        setup.submit(client_request())
+    setup.exchange.attempt_ended(setup.upstream.dispatched[1], AttemptStatus.OK, "body")
+
+    setup.exchange.fail_pending()
+    assert setup.responses == [Served("body"), Failed(timed_out=True), Failed(timed_out=True)]
+    assert setup.exchange.pending_count == 0
+
+    setup.submit(client_request())
+    assert setup.responses[3:] == [Rejected()]
+
+    setup.exchange.fail_pending()
+    setup.exchange.attempt_ended(setup.upstream.dispatched[0], AttemptStatus.OK, "late")
+    assert len(setup.responses) == 4  # one for each request, whatever comes after
+    assert [type(event) for event in setup.balancer.events].count(ClientDisconnected) == 2
 
 
 @real
-async def test_a_name_is_open_until_the_last_attempt_of_its_request_has_ended() -> None:
-    exchange, _, upstream, answers = bench(SEND)
-    request_id = exchange.submit(ClientRequest(1, 0, 0, 20000.0, "payload", b"r-1"), answers.append)
-    assert exchange.is_pending(b"r-1") and not exchange.is_pending(b"r-2")
-    exchange.client_disconnected(request_id)
-    assert exchange.is_pending(b"r-1")
-    exchange.attempt_ended(upstream.sent[0], S.OK, "answer")
-    assert not exchange.is_pending(b"r-1")
+async def test_counts_are_readable_as_text() -> None:
+    setup = set_up(SEND)
+    setup.submit(client_request())
+    setup.exchange.client_disconnected(setup.submit(client_request()))
+    setup.exchange.attempt_ended(setup.upstream.dispatched[0], AttemptStatus.OK, "response")
+
+    assert str(setup.exchange.counts) == (
+        "requests: 2 accepted, 1 served, 0 rejected, 0 failed, 1 disconnected; attempts: 2"
+    )
+    assert setup.exchange.counts.concluded == setup.exchange.counts.accepted
+
+
+# ---- deadlines -----------------------------------------------------------------------------------
 
 
 @real
-async def test_more_than_an_instance_may_hold_is_refused_unseen() -> None:
-    exchange, script, _, answers = bench(SEND, **{"bounds.max_open": "1"})
-    exchange.submit(submission(), answers.append)
-    seen = len(script.events)
-    exchange.submit(submission(), answers.append)
-    assert answers == [Rejected()] and len(script.events) == seen
+async def test_silent_attempt_times_out_at_the_deadline_and_the_balancer_concludes_the_request() -> None:
+    setup = set_up(SEND | {Outcome: lambda event: [Fail(event.id), Reject(event.id)]})
+    setup.submit(client_request(time_left_ms=30.0))
+
+    await setup.wait_for_response()
+
+    assert setup.responses == [Failed(timed_out=True)]
+    assert setup.upstream.cancelled == setup.upstream.dispatched
+    assert setup.balancer.last_outcome() == (AttemptStatus.TIMEOUT, False)
 
 
 @real
-async def test_changes_are_asked_for_also_where_the_module_expects_them_to_be_pushed() -> None:
-    for mode, wanted in (("pushed", True), ("on_request", None)):  # there the module asks, here the script
-        exchange = bench({}, discovery=mode)[0]
-        assert exchange._discovery.on is wanted
+async def test_attempt_that_times_out_before_it_is_written_ends_as_never_sent() -> None:
+    setup = set_up({Request: lambda event: [Send(event.id, b"s1", timeout_ms=20.0)]})
+    setup.upstream.is_dialling = True
+    setup.submit(client_request())
+
+    while len(setup.balancer.events) < 3:
+        await asyncio.sleep(POLL_INTERVAL_S)
+
+    assert setup.balancer.last_outcome() == (AttemptStatus.NEVER_SENT, False)
 
 
+@pytest.mark.parametrize(
+    "script",
+    [pytest.param({}, id="no_action"), pytest.param({Request: lambda event: 1 / 0}, id="balancer_raises")],
+)
 @real
-async def test_an_answer_that_cannot_be_given_keeps_nothing_from_the_module() -> None:
-    exchange, script, upstream, _ = bench(SEND)
-    exchange.submit(submission(), lambda answer: 1 / 0)
-    exchange.attempt_ended(upstream.sent[0], S.OK, "answer")
-    assert (script.events[-1].status, script.events[-1].finished) == (
-        S.OK,
-        True,
-    ) and exchange.pending_count == 0
+async def test_request_that_the_balancer_does_not_conclude_fails_after_its_deadline(script: Script) -> None:
+    setup = set_up(script)
+    setup.submit(client_request(time_left_ms=20.0))
+
+    await setup.wait_for_response()
+
+    assert setup.responses == [Failed(timed_out=True)]
+    assert setup.exchange.pending_count == 0
+
+
+# ---- client disconnects --------------------------------------------------------------------------
 
 
 @real
-async def test_the_modules_log_lines_name_machines_as_people_know_them() -> None:
-    exchange, _, _, answers = bench({Request: [Log(f"eject {b's1'.hex()}: 3 failures")]})
-    lines: list[str] = []
-    sink = logger.add(lines.append, format="{message}")
-    exchange.submit(submission(), answers.append)
-    logger.remove(sink)
-    assert lines == ["module: eject s1: 3 failures\n"]
+async def test_client_disconnect_cancels_attempts_and_gives_no_response() -> None:
+    setup = set_up(SEND | {ClientDisconnected: lambda event: [Cancel(event.id, 0)]})
+
+    setup.exchange.client_disconnected(setup.submit(client_request()))
+
+    assert setup.upstream.cancelled == setup.upstream.dispatched
+    assert setup.responses == []
+    assert setup.exchange.pending_count == 0
+    assert setup.balancer.last_outcome() == (AttemptStatus.CANCELLED, True)
+
+
+# ---- just before an attempt is written -----------------------------------------------------------
+
+
+@dataclass
+class DiallingAttempt(Setup):
+    """An attempt that is being dialled and may still be written."""
+
+    attempt: Attempt | None = None
+    has_client_disconnected: bool = False
+
+
+def set_up_dialling_attempt() -> DiallingAttempt:
+    dialling = DiallingAttempt(**vars(set_up(SEND)))
+    request = client_request()
+    request.is_disconnected = lambda: dialling.has_client_disconnected
+    dialling.submit(request)
+    (dialling.attempt,) = dialling.upstream.dispatched
+    assert dialling.exchange.may_write(dialling.attempt)
+    return dialling
 
 
 @real
-async def test_the_end_answers_all_that_is_owed_at_once_and_refuses_what_comes_later() -> None:
-    """One at a node, one that the module holds, and one answered before."""
-    exchange, script, upstream, answers = bench(
-        {Request: lambda e: [Send(e.id, b"s1")] if e.id != 2 else [], ClientDisconnected: []}
-    )
-    for _ in range(3):
-        exchange.submit(submission(), answers.append)
-    exchange.attempt_ended(upstream.sent[1], S.OK, "body")
-    exchange.fail_pending()
-    assert answers == [Served("body"), Failed(timed_out=True), Failed(timed_out=True)]
-    assert exchange.pending_count == 0
-    exchange.submit(submission(), answers.append)
-    assert answers[3:] == [Rejected()]
-    exchange.fail_pending()
-    exchange.attempt_ended(upstream.sent[0], S.OK, "late")
-    assert len(answers) == 4  # each has one, whatever comes after
-    assert [type(e) for e in script.events].count(ClientDisconnected) == 2
-
-
-def dialled() -> tuple[Exchange, Script, Attempt, list, list[bool]]:
-    """A attempt that is being dialled; its client leaves once the last of these holds something."""
-    exchange, script, upstream, answers = bench(SEND)
-    asked, left = submission(), []
-    asked.is_disconnected = lambda: bool(left)
-    exchange.submit(asked, answers.append)
-    (attempt,) = upstream.sent
-    assert exchange.may_write(attempt)
-    return exchange, script, attempt, answers, left
+async def test_draining_endpoint_gets_no_new_attempt_and_no_write_of_a_dialled_one() -> None:
+    setup = set_up(SEND)
+    setup.submit(client_request())
+    (attempt,) = setup.upstream.dispatched
+    assert setup.exchange.may_write(attempt)
+
+    setup.exchange.list_received(endpoint_list(b"s1", availability=Availability.DRAINING))
+    assert not setup.exchange.may_write(attempt)
+    assert set(setup.upstream.closed) == {b"s1", b"s2"}
+
+    setup.submit(client_request())
+    assert len(setup.upstream.dispatched) == 1
+    assert setup.balancer.last_outcome() == (AttemptStatus.NEVER_SENT, False)
 
 
 @real
-async def test_a_node_that_came_again_elsewhere_gets_nothing_at_its_old_address() -> None:
-    exchange, _, attempt, _, _ = dialled()
-    exchange.list_received(endpoint_list(b"s1", state=Availability.GONE, revision=2))
+async def test_endpoint_that_is_back_at_another_address_gets_no_write_at_the_old_one() -> None:
+    dialling = set_up_dialling_attempt()
+    exchange, attempt = dialling.exchange, dialling.attempt
+
+    exchange.list_received(endpoint_list(b"s1", availability=Availability.GONE, revision=2))
     assert not exchange.may_write(attempt)
-    exchange.list_received(EndpointList(3, False, [Endpoint(EndpointEntry(b"s1"), "127.0.0.1", 2)]))
+
+    exchange.list_received(list_delta(Endpoint(EndpointEntry(b"s1"), "127.0.0.1", 2), revision=3))
     assert not exchange.may_write(attempt)
-    exchange.list_received(
-        EndpointList(4, False, [Endpoint(EndpointEntry(b"s1"), attempt.host, attempt.port)])
-    )
+
+    exchange.list_received(list_delta(Endpoint(EndpointEntry(b"s1"), attempt.host, attempt.port), revision=4))
     assert exchange.may_write(attempt)
 
 
 @real
-async def test_a_dial_that_ends_after_its_client_left_is_not_written_and_nothing_is_owed() -> None:
-    exchange, script, attempt, answers, left = dialled()
-    left.append(True)
-    assert (
-        not exchange.may_write(attempt)
-        and exchange.pending_count == 0
-        and exchange.counts["disconnected"] == 1
-    )
-    exchange.attempt_ended(attempt, S.NEVER_SENT)
-    assert [type(e) for e in script.events[-2:]] == [ClientDisconnected, Outcome]
-    assert script.events[-1].finished and not answers
+async def test_attempt_whose_client_disconnected_while_dialling_is_not_written() -> None:
+    dialling = set_up_dialling_attempt()
+    dialling.has_client_disconnected = True
+
+    assert not dialling.exchange.may_write(dialling.attempt)
+    assert dialling.exchange.pending_count == 0
+    assert dialling.exchange.counts.disconnected == 1
+
+    dialling.exchange.attempt_ended(dialling.attempt, AttemptStatus.NEVER_SENT)
+    assert [type(event) for event in dialling.balancer.events[-2:]] == [ClientDisconnected, Outcome]
+    assert dialling.balancer.last_outcome() == (AttemptStatus.NEVER_SENT, True)
+    assert not dialling.responses
 
 
 @real
-async def test_a_dial_that_ends_after_the_window_of_a_repeat_is_not_written() -> None:
-    exchange, script, attempt, _, _ = dialled()
-    script.begin = False
-    assert not exchange.may_write(attempt)
+async def test_retry_is_not_written_after_its_deduplication_window() -> None:
+    dialling = set_up_dialling_attempt()
+
+    dialling.balancer.allows_writes = False
+
+    assert not dialling.exchange.may_write(dialling.attempt)
+
+
+# ---- discovery and the log -----------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    ("mode", "is_watching"),
+    [
+        pytest.param("pushed", True, id="pushed"),
+        pytest.param(
+            "on_request", None, id="on_request"
+        ),  # there the balancer opens it; the scripted one does not
+    ],
+)
+@real
+async def test_opens_the_watch_where_updates_are_pushed(mode: str, is_watching: bool | None) -> None:
+    setup = set_up({}, discovery=mode)
+
+    assert setup.discovery.is_watching is is_watching
+
+
+@pytest.fixture
+def log_lines():
+    lines: list[str] = []
+    sink = logger.add(lines.append, format="{message}")
+    yield lines
+    logger.remove(sink)
+
+
+@real
+async def test_log_names_endpoints_by_name(log_lines: list[str]) -> None:
+    setup = set_up({Request: lambda event: [Log(f"eject {b's1'.hex()}: 3 failures")]})
+
+    setup.submit(client_request())
+
+    assert log_lines == ["balancer: eject s1: 3 failures\n"]
+
+
+@real
+async def test_log_has_one_line_for_a_series_of_failed_discovery_calls(log_lines: list[str]) -> None:
+    setup = set_up({})
+
+    setup.exchange.list_call_failed("connection refused")
+    setup.exchange.list_call_failed("connection refused")
+    setup.exchange.list_received(endpoint_list(b"s1"))
+    setup.exchange.list_received(endpoint_list(b"s1"))
+
+    assert log_lines == [
+        "discovery call failed: connection refused\n",
+        "discovery responds again after 2 failed calls\n",
+    ]
--- /dev/null
+++ b/tests/test_pending_requests.py
@@ -0,0 +1,161 @@
+"""The table of pending requests: ids, states, removal and deadlines."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from rig import real
+
+from alderspool.routing.clock import Clock
+from alderspool.routing.messages import ClientRequest
+from alderspool.routing.pending_requests import (
+    MAX_REQUEST_ID,
+    PendingRequest,
+    PendingRequestTable,
+    PendingState,
+)
+
+LONG_TIME_LEFT_MS = 20000.0
+RESPONSE_SLACK_MS = 10.0
+FINAL_STATES = [state for state in PendingState if state is not PendingState.AWAITING_RESPONSE]
+
+
+class Setup:
+    """A table whose callbacks are recorded."""
+
+    def __init__(self) -> None:
+        self.past_deadline: list[PendingRequest] = []
+        self.overdue: list[PendingRequest] = []
+        self.was_overdue = asyncio.Event()
+        self.table = PendingRequestTable(
+            Clock(), RESPONSE_SLACK_MS, on_deadline=self.past_deadline.append, on_overdue=self._on_overdue
+        )
+
+    def _on_overdue(self, pending: PendingRequest) -> None:
+        self.overdue.append(pending)
+        self.was_overdue.set()
+
+    def add(
+        self, time_left_ms: float = LONG_TIME_LEFT_MS, client_request_id: bytes = b"r-1"
+    ) -> PendingRequest:
+        request = ClientRequest(0, 0, 0, time_left_ms, "payload", client_request_id)
+        return self.table.add(request, respond=lambda response: None)
+
+
+def final_states(test):
+    return pytest.mark.parametrize("state", FINAL_STATES, ids=lambda state: state.value)(test)
+
+
+@real
+async def test_added_request_awaits_its_response() -> None:
+    setup = Setup()
+
+    pending = setup.add()
+
+    assert setup.table.get(pending.id) is pending
+    assert setup.table.awaiting_response == [pending]
+    assert setup.table.has_client_request_id(b"r-1")
+    assert not setup.table.is_concluded(pending.id)
+    assert pending.state is PendingState.AWAITING_RESPONSE
+
+
+@real
+async def test_request_ids_count_from_1_and_wrap_round_past_0() -> None:
+    setup = Setup()
+    assert setup.add().id == 1
+    setup.table._last_id = MAX_REQUEST_ID - 1
+
+    assert [setup.add().id, setup.add().id] == [MAX_REQUEST_ID, 1]
+
+
+@final_states
+@real
+async def test_request_is_concluded_once(state: PendingState) -> None:
+    setup = Setup()
+    pending = setup.add()
+
+    assert setup.table.conclude(pending, state)
+    assert pending.is_concluded
+    assert setup.table.is_concluded(pending.id)
+    assert setup.table.awaiting_response == []
+
+    for later_state in FINAL_STATES:
+        assert not setup.table.conclude(pending, later_state)
+    assert pending.state is state
+
+
+@real
+async def test_request_without_conclusion_stays_in_the_table() -> None:
+    setup = Setup()
+    pending = setup.add()
+
+    setup.table.remove_if_finished(pending)
+
+    assert setup.table.get(pending.id) is pending
+
+
+@real
+async def test_concluded_request_stays_in_the_table_until_its_attempts_have_ended() -> None:
+    setup = Setup()
+    pending = setup.add()
+    pending.running_attempts = 1
+    setup.table.conclude(pending, PendingState.SERVED)
+
+    setup.table.remove_if_finished(pending)
+    assert len(setup.table) == 1
+    assert setup.table.has_client_request_id(b"r-1")
+
+    pending.running_attempts = 0
+    setup.table.remove_if_finished(pending)
+    setup.table.remove_if_finished(pending)
+    assert len(setup.table) == 0
+    assert setup.table.get(pending.id) is None
+    assert not setup.table.has_client_request_id(b"r-1")
+    assert pending.timer.cancelled()
+
+
+@real
+async def test_unknown_request_counts_as_concluded() -> None:
+    assert Setup().table.is_concluded(7)
+
+
+@real
+async def test_request_is_overdue_some_time_after_its_deadline() -> None:
+    setup = Setup()
+    pending = setup.add(time_left_ms=5.0)
+    loop = asyncio.get_running_loop()
+    submitted_at = loop.time()
+
+    await setup.was_overdue.wait()
+
+    assert setup.past_deadline == [pending]
+    assert setup.overdue == [pending]
+    assert loop.time() - submitted_at >= RESPONSE_SLACK_MS / 1000.0
+
+
+@real
+async def test_request_that_is_concluded_by_its_deadline_is_not_overdue() -> None:
+    setup = Setup()
+    concluded = setup.add(time_left_ms=5.0)
+    concluded.running_attempts = 1  # keeps it in the table
+    setup.table.conclude(concluded, PendingState.FAILED)
+    control = setup.add(time_left_ms=10.0)
+
+    await setup.was_overdue.wait()
+
+    assert setup.past_deadline == [concluded, control]
+    assert setup.overdue == [control]
+
+
+@real
+async def test_removed_request_has_no_deadline() -> None:
+    setup = Setup()
+    removed = setup.add(time_left_ms=5.0)
+    setup.table.conclude(removed, PendingState.SERVED)
+    setup.table.remove_if_finished(removed)
+    control = setup.add(time_left_ms=10.0)
+
+    await setup.was_overdue.wait()
+
+    assert setup.past_deadline == [control]
--- a/tests/test_random_histories.py
+++ b/tests/test_random_histories.py
@@ -1,12 +1,14 @@
-"""Random histories of requests, cuts, replies and the ending: every request taken has exactly one conclusion.
+"""Random histories: every request taken has exactly one conclusion, whatever the order of events.
 
-The listener, the exchange and the decisions are the real ones, clients are real connections; in the nodes'
-place stands a list of attempts that the history ends as it likes.
+A history mixes requests, client disconnects, responses, endpoint lists and the graceful shutdown. The
+listener, the exchange and the balancer are the real ones, and clients are real connections. In place of the
+endpoints there is a list of running attempts, which the history ends at random.
 """
 
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from random import Random
 
 import pytest
@@ -23,8 +25,15 @@
 from alderspool.transport.descriptor_budget import DescriptorBudget
 from alderspool.transport.listener import Listener
 
-STEPS = 60
-ENDS = (
+STEPS_PER_HISTORY = 60
+FIRST_SHUTDOWN_STEP = 10
+HISTORIES_PER_TEST = 100
+MIN_RESPONSES_PER_TEST = 500
+ENDPOINT_COUNT = 3
+MAX_OUTSTANDING_PER_CLIENT = 2
+SETTLE_ROUNDS = 6
+DRAIN_POLL_INTERVAL_S = 0.001
+OUTCOMES = (
     AttemptStatus.OK,
     AttemptStatus.OK,
     AttemptStatus.OK,
@@ -36,19 +45,19 @@
 
 
 class ScriptedUpstream:
-    """Attempts that are out."""
+    """The endpoints and discovery; keeps the running attempts."""
 
     def __init__(self) -> None:
-        self.out: list[Attempt] = []
+        self.running: list[Attempt] = []
 
-    def dispatch(self, claim: Attempt) -> None:
-        claim.written = True
-        self.out.append(claim)
+    def dispatch(self, attempt: Attempt) -> None:
+        attempt.written = True
+        self.running.append(attempt)
 
-    def cancel(self, claim: Attempt) -> None:
-        self.out.remove(claim)
+    def cancel(self, attempt: Attempt) -> None:
+        self.running.remove(attempt)
 
-    def close_idle(self, node: bytes) -> None:
+    def close_idle(self, endpoint: bytes) -> None:
         pass
 
     def watch(self, on: bool) -> None:
@@ -56,162 +65,213 @@
 
 
 class ClientModel:
-    """One connection, and the names of what was sent whole on it."""
+    """One connection of a client, the ids of the requests sent completely on it, and their responses."""
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.reader, self.writer = reader, writer
-        self.sent: list[str] = []
-        self.rest, self.name = b"", ""  # of a request sent in part
-        self.told: list[tuple[int, str]] = []
-        self.cut = self.closed = False
+        self.reader = reader
+        self.writer = writer
+        self.sent_ids: list[str] = []
+        self.unsent_rest = b""  # of a request that was sent in part
+        self.unsent_id = ""
+        self.responses: list[tuple[int, str]] = []  # status and body
+        self.has_disconnected = False
+        self.is_closed = False  # by the proxy
 
     @property
-    def free(self) -> bool:
-        """Whether it may send: its connection stands, and at most one request of it is out."""
-        return not self.cut and not self.closed and len(self.sent) - len(self.told) < 2
+    def may_send(self) -> bool:
+        """Whether its connection is open, and at most one request on it awaits a response."""
+        outstanding = len(self.sent_ids) - len(self.responses)
+        return not self.has_disconnected and not self.is_closed and outstanding < MAX_OUTSTANDING_PER_CLIENT
 
-    async def listen(self) -> None:
+    async def read_responses(self) -> None:
+        """Read until the connection ends, then close it as clients do."""
         try:
             while True:
-                line, headers, body = await read_message(self.reader)
-                self.told.append((int(line.split()[1]), body.decode()))
-                self.closed = self.closed or headers.get("connection") == "close"
+                status_line, headers, body = await read_message(self.reader)
+                self.responses.append((int(status_line.split()[1]), body.decode()))
+                if headers.get("connection") == "close":
+                    self.is_closed = True
         except (asyncio.IncompleteReadError, OSError):
-            self.closed = True
-            self.writer.close()  # as who sees the end of its connection does
+            self.is_closed = True
+            self.writer.close()
 
 
 class History:
+    """One random sequence of events around a listener and an exchange."""
+
     def __init__(self, seed: int) -> None:
         self.random = Random(seed)
-        settings = read_settings(flatten(SETTINGS | {"bounds": self.bounds()}))
-        self.nodes = ScriptedUpstream()
+        self.is_hedging_allowed = self.random.random() < 0.5
+        bounds = {
+            "cancel": True,
+            "may_duplicate": self.is_hedging_allowed,
+            "max_attempts": self.random.randint(1, 5),
+        }
+        settings = read_settings(flatten(SETTINGS | {"bounds": bounds}))
+        self.upstream = ScriptedUpstream()
         self.exchange = Exchange(settings, seed, Clock())
         self.listener = Listener(self.exchange, RequestReader(settings), DescriptorBudget(1024))
-        self.exchange.start(self.nodes, self.nodes, self.list_of("ready", "ready", "ready"))
-        self.submitters: list[ClientModel] = []
-        self.tasks: list[asyncio.Task] = []
-        self.revision, self.door_open = 1, True
-
-    def bounds(self) -> dict[str, object]:
-        self.copies = self.random.random() < 0.5
-        return {"cancel": True, "may_duplicate": self.copies, "max_attempts": self.random.randint(1, 5)}
-
-    def list_of(self, *states: str) -> EndpointList:
-        known = {"ready": Availability.READY, "draining": Availability.DRAINING}
-        entries = [EndpointEntry(b"s%d" % n, availability=known[s]) for n, s in enumerate(states)]
-        return EndpointList(1, True, [Endpoint(e, "127.0.0.1", 9) for e in entries])
-
-    async def settle(self) -> None:
-        for _ in range(6):
-            await asyncio.sleep(0)
+        self.exchange.start(
+            self.upstream, self.upstream, endpoint_list([Availability.READY] * ENDPOINT_COUNT)
+        )
+        self.clients: list[ClientModel] = []
+        self.tasks: list[asyncio.Task[None]] = []
+        self.is_accepting = True
+        self.port = 0
 
     async def play(self) -> None:
+        """Play all steps, with the three of the shutdown among them, until all connections are closed."""
         self.listener.bind("127.0.0.1", 0)
         self.listener.start_accepting()
         self.port = self.listener._socket.getsockname()[1]
-        moments = sorted(self.random.sample(range(10, STEPS), 3))
-        acts = dict(
-            zip(
-                moments,
-                (self.listener.start_draining, self.close_door, self.exchange.fail_pending),
-                strict=True,
-            )
-        )
-        for step in range(STEPS):
-            if step in acts:
-                acts[step]()
-            act = self.random.choice(
-                (self.connect, self.send, self.send, self.part, self.end_claim, self.cut)
-            )
-            await act() if self.random.random() < 0.9 else self.news()
+        shutdown_steps = self.draw_shutdown_steps()
+        for step in range(STEPS_PER_HISTORY):
+            if step in shutdown_steps:
+                shutdown_steps[step]()
+            await self.play_step()
             if self.random.random() < 0.7:
                 await self.settle()
         while self.listener.open_count:
             self.listener.reject_incomplete()
-            await asyncio.sleep(0.001)
+            await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
         await asyncio.gather(*self.tasks)
 
-    def close_door(self) -> None:
-        self.door_open = False
+    def draw_shutdown_steps(self) -> dict[int, Callable[[], None]]:
+        """Return the parts of a graceful shutdown, in their order, by the steps before which they come."""
+        steps = sorted(self.random.sample(range(FIRST_SHUTDOWN_STEP, STEPS_PER_HISTORY), 3))
+        parts = (self.listener.start_draining, self.stop_accepting, self.exchange.fail_pending)
+        return dict(zip(steps, parts, strict=True))
+
+    async def play_step(self) -> None:
+        act = self.random.choice(
+            (
+                self.connect,
+                self.send_request,
+                self.send_request,
+                self.send_part_of_request,
+                self.end_attempt,
+                self.disconnect_client,
+            )
+        )
+        if self.random.random() < 0.9:
+            await act()
+        else:
+            self.update_endpoint_list()
+
+    async def settle(self) -> None:
+        """Let the event loop deliver what is under way."""
+        for _ in range(SETTLE_ROUNDS):
+            await asyncio.sleep(0)
+
+    # ---- what may happen -------------------------------------------------------------------------
+
+    def stop_accepting(self) -> None:
+        self.is_accepting = False
         self.listener.stop_accepting()
 
     async def connect(self) -> None:
-        if self.door_open:
-            submitter = ClientModel(*await asyncio.open_connection("127.0.0.1", self.port))
-            self.submitters.append(submitter)
-            self.tasks.append(asyncio.create_task(submitter.listen()))
-
-    async def pick(self) -> ClientModel | None:
-        await self.settle()  # whoever has been told that its connection ends knows it, and sends no more
-        free = [s for s in self.submitters if s.free]
-        return self.random.choice(free) if free else None
-
-    async def send(self) -> None:
-        if (submitter := await self.pick()) is not None:
-            if not submitter.rest:
-                self.compose(submitter)
-            submitter.writer.write(submitter.rest)
-            submitter.sent.append(submitter.name)
-            submitter.rest = b""
-
-    async def part(self) -> None:
-        if (submitter := await self.pick()) is not None and not submitter.rest:
-            self.compose(submitter)
-            at = self.random.randint(1, len(submitter.rest) - 1)
-            submitter.writer.write(submitter.rest[:at])
-            submitter.rest = submitter.rest[at:]
-
-    def compose(self, submitter: ClientModel) -> None:
-        submitter.name = f"r{self.random.getrandbits(40)}"
-        wait = self.random.choice((20, 20000, 20000))
-        cls = self.random.choice(("look", "pay", "put"))
-        submitter.rest = request(cls, wait, X_Request_Id=submitter.name)
-
-    async def cut(self) -> None:
-        if self.submitters and self.random.random() < 0.3:
-            submitter = self.random.choice(self.submitters)
-            submitter.cut = True
-            submitter.writer.close()
-
-    async def end_claim(self) -> None:
-        if self.nodes.out:
-            claim = self.nodes.out.pop(self.random.randrange(len(self.nodes.out)))
-            status = self.random.choice(ENDS)
-            name = dict(claim.payload.headers)[b"x-request-id"]
-            self.exchange.attempt_ended(
-                claim, status, UpstreamResponse(name) if status == AttemptStatus.OK else None
-            )
-
-    def news(self) -> None:
+        if self.is_accepting:
+            client = ClientModel(*await asyncio.open_connection("127.0.0.1", self.port))
+            self.clients.append(client)
+            self.tasks.append(asyncio.create_task(client.read_responses()))
+
+    async def send_request(self) -> None:
+        """Send a request completely, or the rest of one that was sent in part."""
+        client = await self.choose_client()
+        if client is None:
+            return
+        if not client.unsent_rest:
+            self.compose_request(client)
+        client.writer.write(client.unsent_rest)
+        client.sent_ids.append(client.unsent_id)
+        client.unsent_rest = b""
+
+    async def send_part_of_request(self) -> None:
+        client = await self.choose_client()
+        if client is None or client.unsent_rest:
+            return
+        self.compose_request(client)
+        length = self.random.randint(1, len(client.unsent_rest) - 1)
+        client.writer.write(client.unsent_rest[:length])
+        client.unsent_rest = client.unsent_rest[length:]
+
+    async def disconnect_client(self) -> None:
+        if self.clients and self.random.random() < 0.3:
+            client = self.random.choice(self.clients)
+            client.has_disconnected = True
+            client.writer.close()
+
+    async def end_attempt(self) -> None:
+        """End a running attempt; a response has the id of its request as its body."""
+        if not self.upstream.running:
+            return
+        attempt = self.upstream.running.pop(self.random.randrange(len(self.upstream.running)))
+        status = self.random.choice(OUTCOMES)
+        request_id = dict(attempt.payload.headers)[b"x-request-id"]
+        response = UpstreamResponse(request_id) if status == AttemptStatus.OK else None
+        self.exchange.attempt_ended(attempt, status, response)
+
+    def update_endpoint_list(self) -> None:
+        choices = (Availability.READY, Availability.DRAINING)
         self.exchange.list_received(
-            self.list_of(*(self.random.choice(("ready", "draining")) for _ in range(3)))
+            endpoint_list([self.random.choice(choices) for _ in range(ENDPOINT_COUNT)])
         )
 
-
-@pytest.mark.parametrize("first", range(0, 400, 100))
-def test_every_request_has_exactly_one_conclusion_whatever_the_order(first: int) -> None:
-    async def play(seed: int) -> History:
-        history = History(seed)
-        await asyncio.wait_for(history.play(), LIMIT_S)
-        return history
-
-    whole = 0
-    for seed in range(first, first + 100):
-        history = asyncio.run(play(seed))
-        for submitter in history.submitters:
-            if submitter.cut:
-                continue
-            answers = submitter.told
-            if submitter.rest and answers and answers[-1][0] == 408:  # half a request, told that it is late
-                answers = answers[:-1]
-            assert len(answers) == len(submitter.sent), seed
-            for (status, body), name in zip(answers, submitter.sent, strict=True):
-                assert status in (200, 502, 503, 504), seed
-                assert status != 200 or body == name, seed  # its own answer, in its turn
-            whole += len(answers)
-        counts = history.exchange.counts
-        ends = sum(counts[how] for how in ("served", "rejected", "failed", "disconnected"))
-        assert counts["accepted"] == ends and history.exchange.pending_count == 0, seed
-        assert not history.copies or not history.nodes.out, seed  # called off where copies are made at all
-    assert whole > 500  # the histories are no empty ones
+    async def choose_client(self) -> ClientModel | None:
+        await self.settle()  # a client whose connection the proxy has closed knows it, and sends no more
+        clients = [client for client in self.clients if client.may_send]
+        return self.random.choice(clients) if clients else None
+
+    def compose_request(self, client: ClientModel) -> None:
+        client.unsent_id = f"r{self.random.getrandbits(40)}"
+        time_left_ms = self.random.choice((20, 20000, 20000))
+        request_class = self.random.choice(("look", "pay", "put"))
+        client.unsent_rest = request(request_class, time_left_ms, X_Request_Id=client.unsent_id)
+
+
+def endpoint_list(availabilities: list[Availability]) -> EndpointList:
+    endpoints = [
+        Endpoint(EndpointEntry(b"s%d" % number, availability=availability), "127.0.0.1", 9)
+        for number, availability in enumerate(availabilities)
+    ]
+    return EndpointList(1, True, endpoints)
+
+
+async def play_history(seed: int) -> History:
+    history = History(seed)
+    await asyncio.wait_for(history.play(), LIMIT_S)
+    return history
+
+
+def check_client(client: ClientModel, seed: int) -> int:
+    """Assert that each request has its own response, in order; return how many responses there are."""
+    responses = client.responses
+    if client.unsent_rest and responses and responses[-1][0] == 408:  # for the request that is incomplete
+        responses = responses[:-1]
+    assert len(responses) == len(client.sent_ids), seed
+    for (status, body), request_id in zip(responses, client.sent_ids, strict=True):
+        assert status in (200, 502, 503, 504), seed
+        assert status != 200 or body == request_id, seed
+    return len(responses)
+
+
+def check_exchange(history: History, seed: int) -> None:
+    """Assert that each request has one conclusion, and that nothing of it is left."""
+    counts = history.exchange.counts
+    conclusions = counts.served + counts.rejected + counts.failed + counts.disconnected
+    assert counts.accepted == conclusions, seed
+    assert history.exchange.pending_count == 0, seed
+    # Where hedging is allowed, the balancer cancels what it no longer needs.
+    assert not history.is_hedging_allowed or not history.upstream.running, seed
+
+
+@pytest.mark.parametrize("first_seed", range(0, 4 * HISTORIES_PER_TEST, HISTORIES_PER_TEST))
+def test_every_request_has_exactly_one_conclusion_whatever_the_order(first_seed: int) -> None:
+    response_count = 0
+    for seed in range(first_seed, first_seed + HISTORIES_PER_TEST):
+        history = asyncio.run(play_history(seed))
+        for client in history.clients:
+            if not client.has_disconnected:
+                response_count += check_client(client, seed)
+        check_exchange(history, seed)
+    assert response_count > MIN_RESPONSES_PER_TEST  # the histories are not empty
