--- a/alderspool/routing/exchange.py
+++ b/alderspool/routing/exchange.py
@@ -119,8 +119,8 @@
     def is_pending(self, client_request_id: bytes) -> bool:
         """Return whether a request with the client's own id is pending, or has running attempts.
 
-        A second one could not be distinguished from it: endpoints take it for a duplicate, and a response to one
-        would pass for a response to the other.
+        A second one could not be distinguished from it: endpoints take it for a duplicate, and a response to
+        one would pass for a response to the other.
         """
         return self._table.has_client_request_id(client_request_id)
 
