--- a/alderspool/routing/attempts.py
+++ b/alderspool/routing/attempts.py
@@ -77,8 +77,17 @@
         return True
 
     def time_left_ms(self, attempt: Attempt) -> float:
-        """Return the time until an attempt expires."""
-        return attempt.expires_at - self._clock.now()
+        """Return the time that an attempt states to its endpoint.
+
+        A retry states no more than is surely left. A first attempt states what is left if its request has
+        waited no longer than is sure: with less, an endpoint would give up work that can still be in time.
+        """
+        expires_at = attempt.expires_at
+        if attempt.number > 0:
+            pending = self._table.get(attempt.request_id)
+            if pending is not None:
+                expires_at = min(expires_at, pending.earliest_deadline)
+        return expires_at - self._clock.now()
 
     def ended(self, attempt: Attempt, status: AttemptStatus, payload: object = None) -> None:
         """Report the end of an attempt; its further ends are ignored.
--- a/alderspool/routing/exchange.py
+++ b/alderspool/routing/exchange.py
@@ -131,15 +131,17 @@
         called if the client disconnects first.
         """
         self.counts.accepted += 1
-        if self._is_ended or len(self._table) >= self._settings.max_pending_requests:
+        time_left_ms = request.time_left_ms - request.waited_ms
+        is_table_full = len(self._table) >= self._settings.max_pending_requests
+        if self._is_ended or time_left_ms <= 0.0 or is_table_full:
             self.counts.rejected += 1
             respond(Rejected())
             return 0
-        pending = self._table.add(request, respond)
+        pending = self._table.add(request, respond, time_left_ms)
         self._balancer_loop.feed(
             Request(
                 pending.id,
-                request.time_left_ms,
+                time_left_ms,
                 request.cls,
                 request.tenant,
                 request.key,
@@ -171,7 +173,7 @@
         return self._attempts.may_write(attempt)
 
     def time_left_ms(self, attempt: Attempt) -> float:
-        """Return the time until an attempt expires."""
+        """Return the time that an attempt states to its endpoint. See `AttemptController`."""
         return self._attempts.time_left_ms(attempt)
 
     def attempt_ended(self, attempt: Attempt, status: AttemptStatus, payload: object = None) -> None:
--- a/alderspool/routing/messages.py
+++ b/alderspool/routing/messages.py
@@ -19,17 +19,23 @@
 
 @dataclass(slots=True)
 class ClientRequest:
-    """One request of a client, as the client side submits it."""
+    """One request of a client, as the client side submits it.
+
+    `time_left_ms` counts from its arrival. Until it is submitted the request may have waited, unread or in
+    the accept queue: surely for `waited_ms`, and for `longest_wait_ms` at most.
+    """
 
     cls: int  # index into Settings.classes
     tenant: int  # index into Settings.tenants
     key: int  # 0: none
-    time_left_ms: float  # until its deadline
+    time_left_ms: float  # from its arrival until its deadline
     payload: Any  # belongs to the wire protocol; the exchange passes it through unread
     client_request_id: bytes = b""  # the client's own id, unique among the pending requests; b"": none
     is_retry: bool = False
     cost_hint_ms: float = 0.0  # 0: none
     is_disconnected: Callable[[], bool] = _never_disconnected  # called just before each attempt is written
+    waited_ms: float = 0.0
+    longest_wait_ms: float = 0.0
 
 
 @dataclass(slots=True)
--- a/alderspool/routing/pending_requests.py
+++ b/alderspool/routing/pending_requests.py
@@ -39,6 +39,7 @@
     request: ClientRequest
     respond: ResponseCallback
     deadline: float  # ms on the Clock
+    earliest_deadline: float  # if it waited as long as it may have waited before it was submitted
     timer: asyncio.TimerHandle  # for the deadline, then for the overdue response
     state: PendingState = PendingState.AWAITING_RESPONSE
     # Whether it needs no further response. Follows from `state`; a field since it is read several times per
@@ -97,13 +98,14 @@
         pending = self._pending.get(request_id)
         return pending is None or pending.is_concluded
 
-    def add(self, request: ClientRequest, respond: ResponseCallback) -> PendingRequest:
-        """Give a request an id, and start its deadline."""
+    def add(self, request: ClientRequest, respond: ResponseCallback, time_left_ms: float) -> PendingRequest:
+        """Give a request an id, and start its deadline in `time_left_ms` from now."""
         request_id = self._last_id % MAX_REQUEST_ID + 1
         self._last_id = request_id
-        deadline = self._clock.now() + request.time_left_ms
+        deadline = self._clock.now() + time_left_ms
+        earliest_deadline = deadline - max(request.longest_wait_ms - request.waited_ms, 0.0)
         timer = self._loop.call_at(self._clock.loop_time(deadline), self._deadline_passed, request_id)
-        pending = PendingRequest(request_id, request, respond, deadline, timer)
+        pending = PendingRequest(request_id, request, respond, deadline, earliest_deadline, timer)
         self._pending[request_id] = pending
         self._client_request_ids.add(request.client_request_id)
         return pending
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -76,13 +76,13 @@
     """Writes each attempt at once, unless `is_dialling`; the test ends the attempts."""
 
     def __init__(self) -> None:
-        self.dispatched: list[Attempt] = []
+        self.sent: list[Attempt] = []
         self.cancelled: list[Attempt] = []
         self.closed: list[bytes] = []
         self.is_dialling = False
 
     def dispatch(self, attempt: Attempt) -> None:
-        self.dispatched.append(attempt)
+        self.sent.append(attempt)
         if not self.is_dialling:
             attempt.written = True
 
@@ -131,6 +131,12 @@
     return Setup(exchange, balancer, upstream, discovery)
 
 
+def bench(script: Script, **settings: object) -> tuple[Exchange, ScriptedBalancer, ScriptedUpstream, list]:
+    """Return the parts of `set_up`, as test_accept_queue takes them."""
+    setup = set_up(script, **settings)
+    return setup.exchange, setup.balancer, setup.upstream, setup.responses
+
+
 def endpoint_list(
     *ids: bytes, availability: Availability = Availability.READY, revision: int = 1
 ) -> EndpointList:
@@ -161,7 +167,7 @@
 async def test_first_served_attempt_gives_the_final_response_and_later_ends_change_nothing() -> None:
     setup = set_up({Request: lambda event: [Send(event.id, b"s1"), Send(event.id, b"s2")]})
     setup.submit(client_request())
-    first, hedge = setup.upstream.dispatched
+    first, hedge = setup.upstream.sent
 
     setup.exchange.attempt_ended(hedge, AttemptStatus.OK, "response")
     setup.exchange.attempt_ended(hedge, AttemptStatus.RESET)
@@ -190,7 +196,7 @@
     setup = set_up(SEND)
     setup.exchange.submit(client_request(), lambda response: 1 / 0)
 
-    setup.exchange.attempt_ended(setup.upstream.dispatched[0], AttemptStatus.OK, "response")
+    setup.exchange.attempt_ended(setup.upstream.sent[0], AttemptStatus.OK, "response")
 
     assert setup.balancer.last_outcome() == (AttemptStatus.OK, True)
     assert setup.exchange.pending_count == 0
@@ -206,7 +212,7 @@
     setup.exchange.client_disconnected(request_id)
     assert setup.exchange.is_pending(b"r-1")
 
-    setup.exchange.attempt_ended(setup.upstream.dispatched[0], AttemptStatus.OK, "response")
+    setup.exchange.attempt_ended(setup.upstream.sent[0], AttemptStatus.OK, "response")
     assert not setup.exchange.is_pending(b"r-1")
 
 
@@ -228,7 +234,7 @@
     setup = set_up({Request: lambda event: [Send(event.id, b"s1")] if event.id != 2 else []})
     for _ in range(3):
         setup.submit(client_request())
-    setup.exchange.attempt_ended(setup.upstream.dispatched[1], AttemptStatus.OK, "body")
+    setup.exchange.attempt_ended(setup.upstream.sent[1], AttemptStatus.OK, "body")
 
     setup.exchange.fail_pending()
     assert setup.responses == [Served("body"), Failed(timed_out=True), Failed(timed_out=True)]
@@ -238,7 +244,7 @@
     assert setup.responses[3:] == [Rejected()]
 
     setup.exchange.fail_pending()
-    setup.exchange.attempt_ended(setup.upstream.dispatched[0], AttemptStatus.OK, "late")
+    setup.exchange.attempt_ended(setup.upstream.sent[0], AttemptStatus.OK, "late")
     assert len(setup.responses) == 4  # one for each request, whatever comes after
     assert [type(event) for event in setup.balancer.events].count(ClientDisconnected) == 2
 
@@ -248,7 +254,7 @@
     setup = set_up(SEND)
     setup.submit(client_request())
     setup.exchange.client_disconnected(setup.submit(client_request()))
-    setup.exchange.attempt_ended(setup.upstream.dispatched[0], AttemptStatus.OK, "response")
+    setup.exchange.attempt_ended(setup.upstream.sent[0], AttemptStatus.OK, "response")
 
     assert str(setup.exchange.counts) == (
         "requests: 2 accepted, 1 served, 0 rejected, 0 failed, 1 disconnected; attempts: 2"
@@ -267,7 +273,7 @@
     await setup.wait_for_response()
 
     assert setup.responses == [Failed(timed_out=True)]
-    assert setup.upstream.cancelled == setup.upstream.dispatched
+    assert setup.upstream.cancelled == setup.upstream.sent
     assert setup.balancer.last_outcome() == (AttemptStatus.TIMEOUT, False)
 
 
@@ -307,7 +313,7 @@
 
     setup.exchange.client_disconnected(setup.submit(client_request()))
 
-    assert setup.upstream.cancelled == setup.upstream.dispatched
+    assert setup.upstream.cancelled == setup.upstream.sent
     assert setup.responses == []
     assert setup.exchange.pending_count == 0
     assert setup.balancer.last_outcome() == (AttemptStatus.CANCELLED, True)
@@ -329,7 +335,7 @@
     request = client_request()
     request.is_disconnected = lambda: dialling.has_client_disconnected
     dialling.submit(request)
-    (dialling.attempt,) = dialling.upstream.dispatched
+    (dialling.attempt,) = dialling.upstream.sent
     assert dialling.exchange.may_write(dialling.attempt)
     return dialling
 
@@ -338,7 +344,7 @@
 async def test_draining_endpoint_gets_no_new_attempt_and_no_write_of_a_dialled_one() -> None:
     setup = set_up(SEND)
     setup.submit(client_request())
-    (attempt,) = setup.upstream.dispatched
+    (attempt,) = setup.upstream.sent
     assert setup.exchange.may_write(attempt)
 
     setup.exchange.list_received(endpoint_list(b"s1", availability=Availability.DRAINING))
@@ -346,7 +352,7 @@
     assert set(setup.upstream.closed) == {b"s1", b"s2"}
 
     setup.submit(client_request())
-    assert len(setup.upstream.dispatched) == 1
+    assert len(setup.upstream.sent) == 1
     assert setup.balancer.last_outcome() == (AttemptStatus.NEVER_SENT, False)
 
 
--- a/tests/test_pending_requests.py
+++ b/tests/test_pending_requests.py
@@ -40,7 +40,7 @@
         self, time_left_ms: float = LONG_TIME_LEFT_MS, client_request_id: bytes = b"r-1"
     ) -> PendingRequest:
         request = ClientRequest(0, 0, 0, time_left_ms, "payload", client_request_id)
-        return self.table.add(request, respond=lambda response: None)
+        return self.table.add(request, lambda response: None, time_left_ms)
 
 
 def final_states(test):
@@ -60,6 +60,26 @@
     assert pending.state is PendingState.AWAITING_RESPONSE
 
 
+@pytest.mark.parametrize(
+    ("waited_ms", "longest_wait_ms", "uncertain_ms"),
+    [
+        pytest.param(0.0, 0.0, 0.0, id="no_wait"),
+        pytest.param(1000.0, 1000.0, 0.0, id="known_wait"),
+        pytest.param(1000.0, 5000.0, 4000.0, id="uncertain_wait"),
+        pytest.param(1000.0, 0.0, 0.0, id="no_upper_bound"),
+    ],
+)
+@real
+async def test_earliest_deadline_is_before_the_deadline_by_the_uncertain_part_of_the_wait(
+    waited_ms: float, longest_wait_ms: float, uncertain_ms: float
+) -> None:
+    request = ClientRequest(0, 0, 0, 20000.0, "payload", waited_ms=waited_ms, longest_wait_ms=longest_wait_ms)
+
+    pending = Setup().table.add(request, lambda response: None, LONG_TIME_LEFT_MS - waited_ms)
+
+    assert pending.deadline - pending.earliest_deadline == pytest.approx(uncertain_ms)
+
+
 @real
 async def test_request_ids_count_from_1_and_wrap_round_past_0() -> None:
     setup = Setup()
