--- /dev/null
+++ b/tests/fleet_endpoint.py
@@ -0,0 +1,98 @@
+"""The endpoints of the fleet model: speed, slow start, queue, and a lasting slowdown after overload.
+
+Times in ms of virtual time; work in ms of a core of speed 1.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from alderspool.balancer.events import Availability, EndpointEntry
+
+if TYPE_CHECKING:
+    from fleet_model import SimulatedAttempt
+
+CORES = 2
+
+INITIAL_CAPACITY_SHARE = 0.4  # of an endpoint that has just started
+SLOW_START_MS = 4000.0
+
+# An endpoint that holds more attempts than this for so long becomes slower ("choked") ...
+CHOKE_ATTEMPTS = 10
+CHOKE_AFTER_MS = 2000.0
+CHOKE_SLOWDOWN = 3.0
+# ... until it was less busy than this for so long, or the longest time has passed.
+CHOKE_RECOVERY_BUSY_SHARE = 0.3
+CHOKE_RECOVERY_MS = 2500.0
+CHOKE_MAX_MS = 22_000.0
+
+BUSY_SHARE_WEIGHT = 0.04  # of the newest sample in the moving average
+
+
+@dataclass
+class EndpointNode:
+    """One endpoint. Its states are set from outside: by the fleet, and by the tests that inject faults."""
+
+    id: bytes
+    speed: float
+    cell: int
+    started_at_ms: float = 0.0  # 0: long ago
+    state: int = Availability.READY
+    is_alive: bool = True
+    silent: bool = False  # takes attempts and never responds
+    slower: float = 1.0  # a fault: this many times slower
+    running: int = 0
+    incarnation: int = 0  # number of deaths: what ran before the last one completes nothing
+    queue: deque[SimulatedAttempt] = field(default_factory=deque)
+    choked_at: float | None = None
+    crowded_since: float | None = None
+    idle_since: float | None = None
+    busy_share: float = 0.0  # moving average of the share of its cores at work
+
+    def rate(self, now_ms: float) -> float:
+        """Return the work that one core does in a ms, at this moment."""
+        warm_up_factor = 1.0
+        if self.started_at_ms:
+            age_ms = now_ms - self.started_at_ms
+            warm_up_factor = INITIAL_CAPACITY_SHARE + (1.0 - INITIAL_CAPACITY_SHARE) * age_ms / SLOW_START_MS
+            warm_up_factor = min(warm_up_factor, 1.0)
+        choke_slowdown = CHOKE_SLOWDOWN if self.choked_at is not None else 1.0
+        return self.speed * warm_up_factor / self.slower / choke_slowdown
+
+    def entry(self) -> EndpointEntry:
+        """Return its line of the endpoint list."""
+        return EndpointEntry(self.id, 1.0, self.cell, self.started_at_ms, self.state)
+
+    def is_ready_and_responding(self) -> bool:
+        """Return whether it is listed as ready and responds."""
+        return self.is_alive and not self.silent and self.state == Availability.READY
+
+    def sample_load(self, now_ms: float) -> None:
+        """Update the averages of its load, and begin or end the slowdown that overload causes."""
+        self.busy_share += (self.running / CORES - self.busy_share) * BUSY_SHARE_WEIGHT
+        is_crowded = self.running + len(self.queue) > CHOKE_ATTEMPTS
+        is_idle = self.busy_share < CHOKE_RECOVERY_BUSY_SHARE
+        self.crowded_since = (self.crowded_since or now_ms) if is_crowded else None
+        self.idle_since = (self.idle_since or now_ms) if is_idle else None
+        if self.choked_at is None:
+            if self.crowded_since and now_ms - self.crowded_since > CHOKE_AFTER_MS:
+                self.choked_at = now_ms
+            return
+        has_recovered = self.idle_since is not None and now_ms - self.idle_since > CHOKE_RECOVERY_MS
+        if has_recovered or now_ms - self.choked_at > CHOKE_MAX_MS:
+            self.choked_at = None
+
+    def lose_process(self) -> None:
+        """End its process with all that it runs; the fleet empties its queue."""
+        self.is_alive = False
+        self.running = 0
+        self.incarnation += 1
+
+    def start_process(self, now_ms: float) -> None:
+        """Start a new process, in slow start."""
+        self.is_alive = True
+        self.started_at_ms = now_ms
+        self.state = Availability.READY
+        self.choked_at = None
--- a/tests/fleet_model.py
+++ b/tests/fleet_model.py
@@ -1,18 +1,22 @@
-"""A small fleet in virtual time round Balancers alone: the way into a jam and out, which event lists lack.
+"""A small fleet in virtual time round Balancers alone, for the ways into overload and out of it.
 
-Nodes have two cores, a queue and a speed; they may fall silent, die and come back cold, slow down, drain, or
-choke on what they hold. Clients lay out their arrivals ahead and ask once more when refused. Times in ms;
-work in ms of a core of speed 1. The rules are checked at every action; work in time is counted by the second
-in which it was first asked for.
+Endpoints may stop responding, die and restart in slow start, slow down, drain, or choke on their queue (see
+`fleet_endpoint`). Clients send at random moments that do not depend on responses, and retry once when
+rejected. Times in ms; work in ms of a core of speed 1. The rules of the platform are asserted at every
+action; work that is completed in time is counted by the second in which its client first sent the request.
 """
 
 from __future__ import annotations
 
-import heapq
-from collections import Counter, defaultdict, deque
-from collections.abc import Callable
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field, replace
+from enum import IntEnum
+from functools import partial
 from random import Random
+from typing import Any
+
+from fleet_endpoint import CORES, INITIAL_CAPACITY_SHARE, SLOW_START_MS, EndpointNode
+from virtual_time import VirtualTime
 
 from alderspool.balancer.actions import Action, Cancel, Fail, Reject, Send, SetTimer
 from alderspool.balancer.balancer import Balancer
@@ -20,7 +24,6 @@
     NEVER_RAN,
     AttemptStatus,
     Availability,
-    EndpointEntry,
     EndpointListUpdate,
     Event,
     Outcome,
@@ -30,7 +33,8 @@
 )
 from alderspool.balancer.settings import DeduplicationScope, Idempotency, RequestClass, Settings, Tenant
 
-S, A = AttemptStatus, Availability
+__all__ = ["CORES", "EndpointNode", "FinalResponse", "Fleet", "SimulatedAttempt", "SimulatedRequest"]
+
 CLASSES = [
     RequestClass("status", 400.0, 1000.0, priority_weight=1.0),
     RequestClass("otp", 150.0, 750.0, Idempotency.NON_IDEMPOTENT, priority_weight=2.0),
@@ -38,83 +42,83 @@
         "batch", 500.0, 2000.0, Idempotency.KEYED, DeduplicationScope.CELL, 10_000.0, priority_weight=5.0
     ),
 ]
-WORK, SHARE = (85.0, 48.0, 100.0), (0.40, 0.36, 0.24)  # mean work of each class; part of the requests
-TENANTS = (0.55, 0.36, 0.09)
-QUOTA = 0.8  # of what the fleet can do, all tenants together
-CORES, COLD, COLD_MS = 2, 0.4, 4000.0
-CHOKE_HELD, CHOKE_AFTER, CHOKE_SLOWER = 10, 2000.0, 3.0  # holding more for so long makes a node slower
-CHOKE_BUSY, CHOKE_REST, CHOKE_MOST = (
-    0.3,
-    2500.0,
-    22_000.0,
-)  # until it was so idle for so long, or the last passed
-DEATH_TOLD = 1500.0  # the list tells of a death so late
-NET, TICK, SLACK = 1.0, 2.0, 8.0  # one way; a proxy handles what has come in once a tick
+MEAN_WORK_BY_CLASS = (85.0, 48.0, 100.0)
+REQUEST_SHARE_BY_CLASS = (0.40, 0.36, 0.24)
+REQUEST_SHARE_BY_TENANT = (0.55, 0.36, 0.09)
+TOTAL_QUOTA_SHARE = 0.8  # of the fleet's capacity, all tenants together
+WORK_LOG_MEAN = -0.1
+WORK_LOG_DEVIATION = 0.45
+
+START_MS = 1_000_000.0
+NETWORK_DELAY_MS = 1.0  # one way
+PROXY_STEP_MS = 2.0  # a proxy handles what has come in once in each step
+RESPONSE_SLACK_MS = 8.0
+DEATH_NOTICE_DELAY_MS = 1500.0  # from the death of an endpoint to the update of the list
+CLIENT_BACKOFF_MS = 50.0
+CLIENT_MIN_TIME_LEFT_MS = 100.0  # a client with less does not retry
+SAMPLE_INTERVAL_MS = 20.0
+MIN_TIMER_DELAY_MS = 0.01
+
+
+class FinalResponse(IntEnum):
+    """How a request concluded."""
+
+    SERVED = 1
+    REJECTED = 2
+    FAILED = 3
 
 
 @dataclass
 class SimulatedRequest:
+    """One request of a client; a client's retry is a request of its own."""
+
     id: int
-    cls: int
+    request_class: int
     tenant: int
     work: float
-    due: float  # its client waits until then
-    aim: float
-    second: int  # in which it was first asked
-    again: bool = False
-    tries: list[SimulatedAttempt] = field(default_factory=list)
+    deadline_at_ms: float
+    objective_at_ms: float
+    first_sent_second: int  # of the run, in which the client sent it for the first time
+    is_client_retry: bool = False
+    attempts: list[SimulatedAttempt] = field(default_factory=list)
+
+    @property
+    def idempotency(self) -> Idempotency:
+        """Whether it may be executed more than once."""
+        return CLASSES[self.request_class].idempotency
 
 
 @dataclass
 class SimulatedAttempt:
+    """One attempt of a proxy at a request."""
+
     proxy: Proxy
     request: SimulatedRequest
     number: int
     node: EndpointNode
-    sent: float
-    status: int | None = None  # as told to the proxy
-    ran: bool = False
-    called_off: bool = False
-
-
-@dataclass
-class EndpointNode:
-    id: bytes
-    speed: float
-    cell: int
-    started: float = 0.0
-    state: int = A.READY
-    alive: bool = True
-    silent: bool = False
-    slower: float = 1.0
-    running: int = 0
-    life: int = 0  # what a process before the last death ran ends nowhere
-    queue: deque[SimulatedAttempt] = field(default_factory=deque)
-    choked_at: float | None = None
-    crowded_since: float | None = None
-    idle_since: float | None = None
-    busy: float = 0.0  # EWMA of the part of its cores at work
-
-    def rate(self, now: float) -> float:
-        warm = min(COLD + (1.0 - COLD) * (now - self.started) / COLD_MS, 1.0) if self.started else 1.0
-        return self.speed * warm / self.slower / (CHOKE_SLOWER if self.choked_at is not None else 1.0)
-
-    def entry(self) -> EndpointEntry:
-        return EndpointEntry(self.id, 1.0, self.cell, self.started, self.state)
+    sent_at_ms: float
+    status: AttemptStatus | None = None  # as reported to the proxy; None: outstanding
+    is_cancelled: bool = False
 
 
 @dataclass
 class Proxy:
+    """A Balancer and what it was given."""
+
     lb: Balancer
-    open: dict[int, SimulatedRequest] = field(default_factory=dict)  # taken, without a final answer
-    known: dict[int, SimulatedRequest] = field(default_factory=dict)
-    listed: dict[bytes, int] = field(default_factory=dict)
+    pending: dict[int, SimulatedRequest] = field(default_factory=dict)  # without a final response
+    known: dict[int, SimulatedRequest] = field(default_factory=dict)  # until the deadline and its slack
+    availability: dict[bytes, int] = field(default_factory=dict)  # by the last endpoint list
     inbox: list[Event] = field(default_factory=list)
-    ticking: bool = False
+    is_step_scheduled: bool = False
 
 
 class Fleet:
-    """`load` is what is asked over what the fleet can do; `flood` multiplies the first tenant's part."""
+    """Endpoints, proxies and clients.
+
+    `load` is the work that clients request over the capacity of the fleet; `only` restricts the requests to
+    one class; `flood` multiplies the requests of the first tenant. Further settings go to the Balancers.
+    """
 
     def __init__(
         self,
@@ -124,282 +128,323 @@
         proxies: int = 2,
         only: int | None = None,
         flood: float = 1.0,
-        **settings: object,
+        **settings: Any,
     ) -> None:
         self.random = Random(seed)
-        self.now = self.start = 1_000_000.0
-        self.seq = self.asked = 0
-        self.heap: list[tuple[float, int, Callable[[], None]]] = []
+        self.time = VirtualTime(START_MS)
+        self.request_count = 0
         self.nodes = [
-            EndpointNode(bytes((10, 0, 0, i, 0, 80)), self.random.uniform(0.7, 2.2), i // 3)
-            for i in range(nodes)
+            EndpointNode(bytes((10, 0, 0, number, 0, 80)), self.random.uniform(0.7, 2.2), number // 3)
+            for number in range(nodes)
         ]
-        self.capacity = CORES * sum(n.speed for n in self.nodes)  # ms of work a ms
-        mean = WORK[only] if only is not None else sum(w * s for w, s in zip(WORK, SHARE, strict=True))
-        self.shares = [float(i == only) for i in range(3)] if only is not None else [*SHARE]
-        self.rate = load * self.capacity / mean  # requests a ms
-        self.tenants = [TENANTS[0] * flood, *TENANTS[1:]]
-        quota = 1000.0 * QUOTA * self.capacity / mean
-        self.cfg = Settings(
-            classes=CLASSES,
-            tenants=[Tenant(str(i), s, s * quota) for i, s in enumerate(TENANTS)],
-            instance_count=proxies,
-            hedging_allowed=True,
-            cancel_allowed=True,
-            max_attempts=5,
-            clock_step_ms=TICK,
-            slow_start_ms=COLD_MS,
-            initial_capacity_share=COLD,
-            response_slack_ms=SLACK,
-            **settings,
+        self.capacity = CORES * sum(node.speed for node in self.nodes)  # ms of work in a ms
+        self._class_shares = list(REQUEST_SHARE_BY_CLASS)
+        mean_work = sum(
+            work * share for work, share in zip(MEAN_WORK_BY_CLASS, REQUEST_SHARE_BY_CLASS, strict=True)
         )
-        self.reached: list[SimulatedAttempt] = []  # all that came to a node, in order
-        self.left: set[int] = set()  # seconds in which an attempt left
-        self.able: set[int] = set()  # seconds throughout which a listed node answered
-        self.unable: set[int] = set()
-        self.offered: defaultdict[int, float] = defaultdict(float)
-        self.in_time: defaultdict[int, float] = defaultdict(float)
-        self.by_tenant = [[0.0, 0.0] for _ in TENANTS]  # work asked, work in time
-        self.answers: Counter[int] = Counter()
-        self.effects: Counter[int] = Counter()
-        self.proxies = [self._proxy(i) for i in range(proxies)]
-        self.at(0.0, self._arrive)
-        self.at(20.0, self._look_at_nodes)
-
-    # ---- time ------------------------------------------------------------------------------------
-
-    def at(self, delay: float, what: Callable[[], None]) -> None:
-        self.seq += 1
-        heapq.heappush(self.heap, (self.now + delay, self.seq, what))
+        if only is not None:
+            self._class_shares = [float(number == only) for number in range(len(CLASSES))]
+            mean_work = MEAN_WORK_BY_CLASS[only]
+        self._tenant_shares = [REQUEST_SHARE_BY_TENANT[0] * flood, *REQUEST_SHARE_BY_TENANT[1:]]
+        self._requests_per_ms = load * self.capacity / mean_work
+        quota_rps = 1000.0 * TOTAL_QUOTA_SHARE * self.capacity / mean_work
+        self._settings = _balancer_settings(quota_rps, proxies, settings)
+
+        self.reached: list[SimulatedAttempt] = []  # all that arrived at an endpoint, in order
+        self.left: set[int] = set()  # seconds in which a proxy sent an attempt
+        self.able: set[int] = set()  # seconds throughout which a ready endpoint responded
+        self._unable: set[int] = set()
+        self.offered: defaultdict[int, float] = defaultdict(float)  # work by second
+        self.in_time: defaultdict[int, float] = defaultdict(float)  # work by second of the first sending
+        self.by_tenant = [[0.0, 0.0] for _ in REQUEST_SHARE_BY_TENANT]  # work offered, work in time
+        self.answers: Counter[int] = Counter()  # by FinalResponse
+        self._executions: Counter[int] = Counter()  # by request
+        self.proxies = [self._start_proxy(number) for number in range(proxies)]
+        self.time.call_later(0.0, self._client_sends)
+        self.time.call_later(SAMPLE_INTERVAL_MS, self._sample_endpoints)
+
+    # ---- time and results ------------------------------------------------------------------------
+
+    @property
+    def now(self) -> float:
+        """The virtual time, ms."""
+        return self.time.now_ms
 
     def run(self, seconds: float) -> None:
-        end = self.now + 1000.0 * seconds
-        while self.heap and self.heap[0][0] <= end:
-            self.now, _, what = heapq.heappop(self.heap)
-            what()
-        self.now = end
+        """Advance the virtual time by so many seconds."""
+        self.time.run(1000.0 * seconds)
 
     def second(self) -> int:
-        return int((self.now - self.start) / 1000.0)
+        """Return the number of whole seconds since the start."""
+        return int((self.now - START_MS) / 1000.0)
 
     def service(self, first: int, last: int) -> float:
-        """Work in time in these seconds, over what was asked or what the fleet can do, whichever is less."""
-        span = range(first, last)
-        could = min(sum(self.offered[s] for s in span), 1000.0 * self.capacity * len(span))
-        return sum(self.in_time[s] for s in span) / could
-
-    # ---- clients ------------------------------------------------------------------------------
-
-    def _arrive(self) -> None:
-        self.at(self.random.expovariate(self.rate), self._arrive)
-        cls = self.random.choices(range(3), self.shares)[0]
-        tenant = self.random.choices(range(3), self.tenants)[0]
-        work = WORK[cls] * self.random.lognormvariate(-0.1, 0.45)
-        c, self.asked = CLASSES[cls], self.asked + 1
-        self._ask(
-            SimulatedRequest(
-                self.asked,
-                cls,
-                tenant,
-                work,
-                self.now + c.deadline_ms,
-                self.now + c.latency_objective_ms,
-                self.second(),
-            )
+        """Return the work in time of these seconds, over the smaller of what was offered and the capacity."""
+        seconds = range(first, last)
+        offered = sum(self.offered[second] for second in seconds)
+        achievable = min(offered, 1000.0 * self.capacity * len(seconds))
+        return sum(self.in_time[second] for second in seconds) / achievable
+
+    # ---- faults ----------------------------------------------------------------------------------
+
+    def restart(self, number: int) -> None:
+        """Kill a proxy and start a new one; its pending requests are lost, its attempts run on unheard."""
+        self.proxies[number] = self._start_proxy(number)
+
+    def die(self, node: EndpointNode) -> None:
+        """End the process of an endpoint: its attempts are reset, and the list follows later."""
+        node.lose_process()
+        for proxy in self.proxies:
+            for request in proxy.known.values():
+                for attempt in request.attempts:
+                    if attempt.node is node and attempt.status is None:
+                        self._end_after_network_delay(attempt, AttemptStatus.RESET)
+        node.queue.clear()
+        self.time.call_later(DEATH_NOTICE_DELAY_MS, partial(self._list_as_gone, node))
+
+    def _list_as_gone(self, node: EndpointNode) -> None:
+        if not node.is_alive:
+            node.state = Availability.GONE
+            self.announce()
+
+    def come_back(self, node: EndpointNode) -> None:
+        """Start an endpoint anew, in slow start, and announce it at once."""
+        node.start_process(self.now)
+        self.announce()
+
+    def announce(self) -> None:
+        """Send the endpoint list as it is now to all proxies."""
+        for proxy in self.proxies:
+            self._send_endpoint_list(proxy)
+
+    # ---- clients ---------------------------------------------------------------------------------
+
+    def _client_sends(self) -> None:
+        self.time.call_later(self.random.expovariate(self._requests_per_ms), self._client_sends)
+        class_number = self.random.choices(range(len(CLASSES)), self._class_shares)[0]
+        tenant = self.random.choices(range(len(REQUEST_SHARE_BY_TENANT)), self._tenant_shares)[0]
+        work = MEAN_WORK_BY_CLASS[class_number] * self.random.lognormvariate(
+            WORK_LOG_MEAN, WORK_LOG_DEVIATION
+        )
+        request_class = CLASSES[class_number]
+        request = SimulatedRequest(
+            id=self._next_request_id(),
+            request_class=class_number,
+            tenant=tenant,
+            work=work,
+            deadline_at_ms=self.now + request_class.deadline_ms,
+            objective_at_ms=self.now + request_class.latency_objective_ms,
+            first_sent_second=self.second(),
         )
+        self._send_request(request)
         self.offered[self.second()] += work
         self.by_tenant[tenant][0] += work
 
-    def _ask(self, request: SimulatedRequest) -> None:
-        proxy = self.proxies[self.random.randrange(len(self.proxies))]
-        proxy.open[request.id] = proxy.known[request.id] = request
-        self._tell(proxy, Request(request.id, request.due - self.now, request.cls, request.tenant))
-        self.at(request.due - self.now + SLACK + TICK, lambda: self._must_be_answered(proxy, request))
+    def _next_request_id(self) -> int:
+        self.request_count += 1
+        return self.request_count
 
-    def _must_be_answered(self, proxy: Proxy, request: SimulatedRequest) -> None:
-        assert request.id not in proxy.open or proxy not in self.proxies, f"request {request.id} lost"
+    def _send_request(self, request: SimulatedRequest) -> None:
+        proxy = self.proxies[self.random.randrange(len(self.proxies))]
+        proxy.pending[request.id] = request
+        proxy.known[request.id] = request
+        time_left_ms = request.deadline_at_ms - self.now
+        self._deliver(proxy, Request(request.id, time_left_ms, request.request_class, request.tenant))
+        check_after_ms = time_left_ms + RESPONSE_SLACK_MS + PROXY_STEP_MS
+        self.time.call_later(check_after_ms, partial(self._assert_concluded, proxy, request))
+
+    def _assert_concluded(self, proxy: Proxy, request: SimulatedRequest) -> None:
+        assert request.id not in proxy.pending or proxy not in self.proxies, f"request {request.id} lost"
         proxy.known.pop(request.id, None)
 
-    def _refused(self, request: SimulatedRequest) -> None:
-        if not request.again and request.due - self.now > 100.0:
-            self.asked += 1
-            later = SimulatedRequest(
-                self.asked,
-                request.cls,
-                request.tenant,
-                request.work,
-                request.due,
-                request.aim,
-                request.second,
-                True,
-            )
-            self.at(50.0, lambda: self._ask(later))
+    def _client_retries(self, rejected: SimulatedRequest) -> None:
+        time_left_ms = rejected.deadline_at_ms - self.now
+        if rejected.is_client_retry or time_left_ms <= CLIENT_MIN_TIME_LEFT_MS:
+            return
+        retry = replace(rejected, id=self._next_request_id(), is_client_retry=True, attempts=[])
+        self.time.call_later(CLIENT_BACKOFF_MS, partial(self._send_request, retry))
 
     # ---- proxies ---------------------------------------------------------------------------------
 
-    def _proxy(self, number: int) -> Proxy:
-        proxy = Proxy(Balancer(replace(self.cfg, instance_number=number), self.random.randrange(1 << 30)))
-        self._act(proxy, proxy.lb.start(self.now))
-        self._announce(proxy)
+    def _start_proxy(self, number: int) -> Proxy:
+        settings = replace(self._settings, instance_number=number)
+        proxy = Proxy(Balancer(settings, self.random.randrange(1 << 30)))
+        self._perform(proxy, proxy.lb.start(self.now))
+        self._send_endpoint_list(proxy)
         return proxy
 
-    def restart(self, number: int) -> None:
-        """Killed: what it had taken is its clients' to repeat; its attempts run on, unheard."""
-        self.proxies[number] = self._proxy(number)
+    def _send_endpoint_list(self, proxy: Proxy) -> None:
+        entries = [node.entry() for node in self.nodes if node.state != Availability.GONE]
+        self._deliver(proxy, EndpointListUpdate(UpdateMode.FULL, entries))
 
-    def _announce(self, proxy: Proxy) -> None:
-        listed = [n for n in self.nodes if n.state != A.GONE]
-        self._tell(proxy, EndpointListUpdate(UpdateMode.FULL, [n.entry() for n in listed]))
-
-    def announce(self) -> None:
-        for proxy in self.proxies:
-            self._announce(proxy)
-
-    def _tell(self, proxy: Proxy, event: Event) -> None:
+    def _deliver(self, proxy: Proxy, event: Event) -> None:
         proxy.inbox.append(event)
-        if not proxy.ticking:
-            proxy.ticking = True
-            self.at(TICK, lambda: self._handle(proxy))
-
-    def _handle(self, proxy: Proxy) -> None:
-        proxy.ticking = False
-        events, proxy.inbox = proxy.inbox, []
-        for event in events if proxy in self.proxies else []:
+        if not proxy.is_step_scheduled:
+            proxy.is_step_scheduled = True
+            self.time.call_later(PROXY_STEP_MS, partial(self._handle_inbox, proxy))
+
+    def _handle_inbox(self, proxy: Proxy) -> None:
+        proxy.is_step_scheduled = False
+        events = proxy.inbox
+        proxy.inbox = []
+        if proxy not in self.proxies:
+            return  # killed meanwhile
+        for event in events:
             if isinstance(event, EndpointListUpdate):
-                proxy.listed = {e.id: e.availability for e in event.entries}
+                proxy.availability = {entry.id: entry.availability for entry in event.entries}
             elif isinstance(event, Outcome) and event.finished:
-                event.finished = self._served(proxy.open.pop(event.id, None))
-            self._act(proxy, proxy.lb.handle(self.now, event))
+                event.finished = self._conclude_as_served(proxy.pending.pop(event.id, None))
+            self._perform(proxy, proxy.lb.handle(self.now, event))
 
-    def _served(self, request: SimulatedRequest | None) -> bool:
+    def _conclude_as_served(self, request: SimulatedRequest | None) -> bool:
         if request is None:
-            return False  # a second copy, or too late: it has its final answer
-        self.answers[1] += 1
-        if self.now <= request.aim:
-            self.in_time[request.second] += request.work
+            return False  # a hedge, or too late: the request already has its final response
+        self.answers[FinalResponse.SERVED] += 1
+        if self.now <= request.objective_at_ms:
+            self.in_time[request.first_sent_second] += request.work
             self.by_tenant[request.tenant][1] += request.work
         return True
 
-    def _act(self, proxy: Proxy, actions: list[Action]) -> None:
-        for a in actions:
-            if isinstance(a, Send):
-                self._send(proxy, proxy.open[a.id], a.endpoint)  # KeyError: sent after its final answer
-            elif isinstance(a, Reject | Fail):
-                request = proxy.open.pop(a.id)  # KeyError: a second final answer
-                self.answers[2 if isinstance(a, Reject) else 3] += 1
-                assert self.now <= request.due + SLACK
-                if isinstance(a, Reject):
-                    safe = CLASSES[request.cls].idempotency == Idempotency.IDEMPOTENT
-                    assert safe or all(t.status in NEVER_RAN for t in request.tries), (
-                        "refused what may have run"
-                    )
-                    self._refused(request)
-            elif isinstance(a, SetTimer):
-                token = a.token
-                self.at(max(a.delay_ms, 0.01), lambda token=token: self._tell(proxy, TimerFired(token)))
-            elif isinstance(a, Cancel):
-                self._call_off(proxy.known[a.id].tries[a.attempt])
-
-    def _send(self, proxy: Proxy, request: SimulatedRequest, server: bytes) -> None:
-        assert proxy.listed[server] == A.READY, "sent to a node that is listed as draining or gone"
-        maybe = [t for t in request.tries if t.status not in NEVER_RAN]
-        if maybe:
-            assert CLASSES[request.cls].idempotency != Idempotency.NON_IDEMPOTENT, (
-                "sent again what must never run twice"
-            )
-            node = next(n for n in self.nodes if n.id == server)
-            guarded = CLASSES[request.cls].idempotency == Idempotency.KEYED
-            assert not guarded or node.cell == maybe[0].node.cell, "repeat outside its group"
-        node = next(n for n in self.nodes if n.id == server)
-        attempt = SimulatedAttempt(proxy, request, len(request.tries), node, self.now)
-        request.tries.append(attempt)
+    def _perform(self, proxy: Proxy, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Send):
+                # A KeyError says that it was sent after the final response.
+                self._send_attempt(proxy, proxy.pending[action.id], action.endpoint)
+            elif isinstance(action, Reject):
+                self._reject(proxy, action)
+            elif isinstance(action, Fail):
+                self._conclude(proxy, action.id, FinalResponse.FAILED)
+            elif isinstance(action, SetTimer):
+                fire = partial(self._fire_timer, proxy, action.token)
+                self.time.call_later(max(action.delay_ms, MIN_TIMER_DELAY_MS), fire)
+            elif isinstance(action, Cancel):
+                self._cancel_attempt(proxy.known[action.id].attempts[action.attempt])
+
+    def _fire_timer(self, proxy: Proxy, token: int) -> None:
+        self._deliver(proxy, TimerFired(token))
+
+    def _conclude(self, proxy: Proxy, request_id: int, response: FinalResponse) -> SimulatedRequest:
+        request = proxy.pending.pop(request_id)  # KeyError: a second final response
+        self.answers[response] += 1
+        assert self.now <= request.deadline_at_ms + RESPONSE_SLACK_MS
+        return request
+
+    def _reject(self, proxy: Proxy, action: Reject) -> None:
+        request = self._conclude(proxy, action.id, FinalResponse.REJECTED)
+        is_idempotent = request.idempotency == Idempotency.IDEMPOTENT
+        assert is_idempotent or all(attempt.status in NEVER_RAN for attempt in request.attempts), (
+            "rejected what may have run"
+        )
+        self._client_retries(request)
+
+    # ---- attempts --------------------------------------------------------------------------------
+
+    def _send_attempt(self, proxy: Proxy, request: SimulatedRequest, endpoint: bytes) -> None:
+        assert proxy.availability[endpoint] == Availability.READY, (
+            "sent to an endpoint that is listed as draining or gone"
+        )
+        node = next(node for node in self.nodes if node.id == endpoint)
+        _assert_may_be_sent(request, node)
+        attempt = SimulatedAttempt(proxy, request, len(request.attempts), node, self.now)
+        request.attempts.append(attempt)
         self.left.add(self.second())
-        self.at(NET, lambda: self._reach(attempt))
-        self.at(max(request.due - self.now, 0.0), lambda: self._end(attempt, S.TIMEOUT))
+        self.time.call_later(NETWORK_DELAY_MS, partial(self._arrive, attempt))
+        timeout_ms = max(request.deadline_at_ms - self.now, 0.0)
+        self.time.call_later(timeout_ms, partial(self._end, attempt, AttemptStatus.TIMEOUT))
 
-    def _end(self, attempt: SimulatedAttempt, status: int) -> None:
-        """Tells the proxy how an attempt ended, once."""
+    def _end(self, attempt: SimulatedAttempt, status: AttemptStatus) -> None:
+        """Report to the proxy how an attempt ended, once."""
         if attempt.status is not None:
             return
-        attempt.status, request = int(status), attempt.request
+        attempt.status = status
         outcome = Outcome(
-            request.id, attempt.number, attempt.node.id, status, self.now - attempt.sent, status == S.OK
+            attempt.request.id,
+            attempt.number,
+            attempt.node.id,
+            status,
+            self.now - attempt.sent_at_ms,
+            status == AttemptStatus.OK,
         )
-        self._tell(attempt.proxy, outcome)
+        self._deliver(attempt.proxy, outcome)
+
+    def _end_after_network_delay(self, attempt: SimulatedAttempt, status: AttemptStatus) -> None:
+        self.time.call_later(NETWORK_DELAY_MS, partial(self._end, attempt, status))
 
-    def _call_off(self, attempt: SimulatedAttempt) -> None:
-        attempt.called_off = True
-        self.at(NET, lambda: self._end(attempt, S.CANCELLED))
+    def _cancel_attempt(self, attempt: SimulatedAttempt) -> None:
+        attempt.is_cancelled = True
+        self._end_after_network_delay(attempt, AttemptStatus.CANCELLED)
 
-    # ---- nodes -----------------------------------------------------------------------------------
+    # ---- endpoints -------------------------------------------------------------------------------
 
-    def _reach(self, attempt: SimulatedAttempt) -> None:
+    def _arrive(self, attempt: SimulatedAttempt) -> None:
         node = attempt.node
         self.reached.append(attempt)
-        if not node.alive:
-            self.at(NET, lambda: self._end(attempt, S.CONNECT_FAILED))
+        if not node.is_alive:
+            self._end_after_network_delay(attempt, AttemptStatus.CONNECT_FAILED)
         elif not node.silent:
             node.queue.append(attempt)
-            self._start(node)
+            self._start_queued(node)
 
-    def _start(self, node: EndpointNode) -> None:
+    def _start_queued(self, node: EndpointNode) -> None:
         while node.running < CORES and node.queue:
             attempt = node.queue.popleft()
-            if attempt.called_off or attempt.status is not None:
+            if attempt.is_cancelled or attempt.status is not None:
                 continue
-            effects = self.effects
-            effects[attempt.request.id] += 1
-            once = CLASSES[attempt.request.cls].idempotency == Idempotency.NON_IDEMPOTENT
-            assert not once or effects[attempt.request.id] == 1, "an effect twice"
-            attempt.ran = True
+            self._count_execution(attempt.request)
             node.running += 1
-            life = node.life
-            took = attempt.request.work / node.rate(self.now)
-            self.at(took, lambda a=attempt, life=life: self._done(node, a, life))
+            duration_ms = attempt.request.work / node.rate(self.now)
+            self.time.call_later(duration_ms, partial(self._complete, node, attempt, node.incarnation))
+
+    def _count_execution(self, request: SimulatedRequest) -> None:
+        self._executions[request.id] += 1
+        is_non_idempotent = request.idempotency == Idempotency.NON_IDEMPOTENT
+        assert not is_non_idempotent or self._executions[request.id] == 1, (
+            "a non-idempotent request ran twice"
+        )
 
-    def _done(self, node: EndpointNode, attempt: SimulatedAttempt, life: int) -> None:
-        if life != node.life:
+    def _complete(self, node: EndpointNode, attempt: SimulatedAttempt, incarnation: int) -> None:
+        if incarnation != node.incarnation:
             return
         node.running -= 1
         if not node.silent:
-            self.at(NET, lambda: self._end(attempt, S.OK))
-        self._start(node)
-
-    def _look_at_nodes(self) -> None:
-        self.at(20.0, self._look_at_nodes)
-        answering = any(n.alive and not n.silent and n.state == A.READY for n in self.nodes)
-        (self.able if answering else self.unable).add(self.second())
-        self.able -= self.unable
+            self._end_after_network_delay(attempt, AttemptStatus.OK)
+        self._start_queued(node)
+
+    def _sample_endpoints(self) -> None:
+        self.time.call_later(SAMPLE_INTERVAL_MS, self._sample_endpoints)
+        if any(node.is_ready_and_responding() for node in self.nodes):
+            self.able.add(self.second())
+        else:
+            self._unable.add(self.second())
+        self.able -= self._unable
         for node in self.nodes:
-            node.busy += (node.running / CORES - node.busy) * 0.04
-            crowded, idle = node.running + len(node.queue) > CHOKE_HELD, node.busy < CHOKE_BUSY
-            node.crowded_since = (node.crowded_since or self.now) if crowded else None
-            node.idle_since = (node.idle_since or self.now) if idle else None
-            if node.choked_at is None:
-                if node.crowded_since and self.now - node.crowded_since > CHOKE_AFTER:
-                    node.choked_at = self.now
-            elif (
-                node.idle_since
-                and self.now - node.idle_since > CHOKE_REST
-                or self.now - node.choked_at > CHOKE_MOST
-            ):
-                node.choked_at = None
-
-    def die(self, node: EndpointNode) -> None:
-        node.alive, node.running, node.life = False, 0, node.life + 1
-        for proxy in self.proxies:
-            for request in proxy.known.values():
-                for attempt in request.tries:
-                    if attempt.node is node and attempt.status is None:
-                        self.at(NET, lambda a=attempt: self._end(a, S.RESET))
-        node.queue.clear()
-        self.at(DEATH_TOLD, lambda: self._told_dead(node))
-
-    def _told_dead(self, node: EndpointNode) -> None:
-        if not node.alive:
-            node.state = A.GONE
-            self.announce()
-
-    def come_back(self, node: EndpointNode) -> None:
-        node.alive, node.started, node.state, node.choked_at = True, self.now, A.READY, None
-        self.announce()
+            node.sample_load(self.now)
+
+
+def _balancer_settings(quota_rps: float, instance_count: int, overrides: dict[str, Any]) -> Settings:
+    return Settings(
+        classes=CLASSES,
+        tenants=[
+            Tenant(str(number), share, share * quota_rps)
+            for number, share in enumerate(REQUEST_SHARE_BY_TENANT)
+        ],
+        instance_count=instance_count,
+        hedging_allowed=True,
+        cancel_allowed=True,
+        max_attempts=5,
+        clock_step_ms=PROXY_STEP_MS,
+        slow_start_ms=SLOW_START_MS,
+        initial_capacity_share=INITIAL_CAPACITY_SHARE,
+        response_slack_ms=RESPONSE_SLACK_MS,
+        **overrides,
+    )
+
+
+def _assert_may_be_sent(request: SimulatedRequest, node: EndpointNode) -> None:
+    """Assert that a further attempt at this endpoint cannot cause a second execution."""
+    may_have_run = [attempt for attempt in request.attempts if attempt.status not in NEVER_RAN]
+    if not may_have_run:
+        return
+    assert request.idempotency != Idempotency.NON_IDEMPOTENT, "retried a non-idempotent request"
+    is_keyed = request.idempotency == Idempotency.KEYED
+    assert not is_keyed or node.cell == may_have_run[0].node.cell, "retried outside the deduplication scope"
