--- a/alderspool/lab/cli.py
+++ b/alderspool/lab/cli.py
@@ -99,9 +99,9 @@
     import asyncio
 
     from alderspool.lab.demo import demo as play
-    from alderspool.lab.demo import planned
+    from alderspool.lab.demo import planned_requests
     from alderspool.lab.load.show import progress
 
-    with progress(planned(seconds), quiet=not sys.stderr.isatty()) as advance:
+    with progress(planned_requests(seconds), quiet=not sys.stderr.isatty()) as advance:
         result = asyncio.run(play(seconds, advance, lambda text: click.echo(text, err=True)))
     _finish(result, as_json)
--- a/alderspool/lab/emulator/__init__.py
+++ b/alderspool/lab/emulator/__init__.py
@@ -1,1 +1,1 @@
-"""The models behind loopback listeners that speak the platform's protocol, with faults by a timed plan."""
+"""Endpoints and discovery on loopback ports, by the models of `alderspool.lab.models`, and real proxies."""
--- /dev/null
+++ b/alderspool/lab/emulator/http_server.py
@@ -0,0 +1,59 @@
+"""The server side of HTTP/1.1 for the emulated services: one request at a time on a connection."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from http import HTTPStatus
+
+import httptools
+
+from alderspool.protocol.http_parts import HttpMessageCollector
+
+BODY_LIMIT_BYTES = 64 * 1024
+READ_SIZE_BYTES = 64 * 1024
+
+
+@dataclass(slots=True)
+class HttpRequest:
+    """A complete request; the names of its headers are in lower case."""
+
+    method: str
+    target: str
+    headers: dict[bytes, bytes]
+    body: bytes
+
+    def header(self, name: bytes) -> str | None:
+        """Return the value of a header; None if it is absent or empty."""
+        value = self.headers.get(name)
+        return value.decode("latin-1") if value else None
+
+
+class HttpServerCodec(HttpMessageCollector):
+    """Bytes in, complete requests out. `fault` is set once the input is no HTTP, and nothing follows."""
+
+    def __init__(self) -> None:
+        super().__init__(BODY_LIMIT_BYTES)
+        self._parser = httptools.HttpRequestParser(self)
+        self._complete: list[HttpRequest] = []
+
+    def receive(self, data: bytes) -> list[HttpRequest]:
+        """Take what was read from the connection; return the requests that it completes."""
+        try:
+            self.feed(self._parser, data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self.fault = self.fault or (HTTPStatus.BAD_REQUEST, str(error))
+        complete = self._complete
+        self._complete = []
+        return complete
+
+    def message_done(self) -> None:
+        """Take up a request that the parser has completed; called by HttpMessageCollector."""
+        method = self._parser.get_method().decode()
+        target = self.target.decode("latin-1")
+        self._complete.append(HttpRequest(method, target, dict(self.headers), self.body))
+
+
+def encode_response(status: int, body: bytes = b"", *header_lines: bytes) -> bytes:
+    """Return a complete response."""
+    lines = b"".join(b"%b\r\n" % line for line in header_lines)
+    return b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n%b\r\n%b" % (status, len(body), lines, body)
--- a/alderspool/lab/models/__init__.py
+++ b/alderspool/lab/models/__init__.py
@@ -1,4 +1,5 @@
-"""What stands round a proxy, as models: no I/O, no clock (times are passed in, in ms), seeded numpy streams.
+"""Models of what surrounds a proxy: endpoints, discovery, the front load balancer and clients.
 
-The same models run behind sockets and in virtual time; so nothing here knows asyncio.
+They do no I/O and read no clock: times are passed in, in ms, and random numbers come from seeded numpy
+generators. So the same models run behind sockets and in virtual time; nothing here imports asyncio.
 """
--- a/alderspool/lab/models/client.py
+++ b/alderspool/lab/models/client.py
@@ -1,4 +1,4 @@
-"""A client's habits: how long it waits, whether and when it asks again."""
+"""A client's behaviour: how long it waits for a response, and whether and when it retries."""
 
 from __future__ import annotations
 
@@ -6,40 +6,48 @@
 
 import numpy as np
 
+EARLY_ABORT_SHARE = 0.1  # of an attempt's time, after which a client that aborts early gives up
+
 
 @dataclass(frozen=True)
-class Habits:
-    """`try_share`: part of the class's deadline that one try is given. `impatient`: part of the requests that
-    are given up after a tenth of it. `backoff_ms`: before the first further try; `doubling`: twice as long
-    before each next one."""
+class ClientBehaviour:
+    """What the clients of a class do. Shares are from 0 to 1."""
 
     retries: int = 1
-    try_share: float = 1.0
-    impatient: float = 0.0
-    backoff_ms: float = 50.0
-    doubling: bool = False
-    honours_retry_after: float = 0.0  # part of the clients
+    attempt_deadline_share: float = 1.0  # of the class's deadline, which one attempt is given
+    early_abort_probability: float = 0.0
+    backoff_ms: float = 50.0  # before the first retry
+    is_backoff_doubled: bool = False  # for each further retry
+    honours_retry_after_probability: float = 0.0
 
 
 class ClientModel:
-    """One request of a client over all its tries. Times in ms."""
-
-    def __init__(self, habits: Habits, deadline_ms: float, now: float, stream: np.random.Generator) -> None:
-        self._habits, self._until, self._tries = habits, now + deadline_ms, 0
-        patience = habits.try_share * deadline_ms
-        self._patience = 0.1 * patience if stream.random() < habits.impatient else patience
-        self._honours = stream.random() < habits.honours_retry_after
-
-    def try_once(self, now: float) -> float:
-        """How long this try waits: what it states as its deadline."""
-        self._tries += 1
-        return min(self._patience, self._until - now)
-
-    def refused(self, now: float, retry_after_ms: float = 0.0) -> float | None:
-        """When it asks again after a refusal, a failure or a broken connection; None: it gives up."""
-        if self._tries > self._habits.retries:
+    """One request of a client over all its attempts. Times in ms."""
+
+    def __init__(
+        self, behaviour: ClientBehaviour, deadline_ms: float, now_ms: float, random: np.random.Generator
+    ) -> None:
+        self._behaviour = behaviour
+        self._deadline_at_ms = now_ms + deadline_ms
+        self._attempts = 0
+        self._attempt_deadline_ms = behaviour.attempt_deadline_share * deadline_ms
+        if random.random() < behaviour.early_abort_probability:
+            self._attempt_deadline_ms *= EARLY_ABORT_SHARE
+        self._honours_retry_after = random.random() < behaviour.honours_retry_after_probability
+
+    def start_attempt(self, now_ms: float) -> float:
+        """Count an attempt, and return its deadline: how long from now the client waits for a response."""
+        self._attempts += 1
+        return min(self._attempt_deadline_ms, self._deadline_at_ms - now_ms)
+
+    def retry_at(self, now_ms: float, retry_after_ms: float = 0.0) -> float | None:
+        """Return when it retries after a rejection, a failure or a broken connection; None: it does not."""
+        if self._attempts > self._behaviour.retries:
             return None
-        wait = self._habits.backoff_ms * (2.0 ** (self._tries - 1) if self._habits.doubling else 1.0)
-        if self._honours:
-            wait = max(wait, retry_after_ms)
-        return now + wait if now + wait < self._until else None
+        backoff_ms = self._behaviour.backoff_ms
+        if self._behaviour.is_backoff_doubled:
+            backoff_ms *= 2.0 ** (self._attempts - 1)
+        if self._honours_retry_after:
+            backoff_ms = max(backoff_ms, retry_after_ms)
+        retry_at_ms = now_ms + backoff_ms
+        return retry_at_ms if retry_at_ms < self._deadline_at_ms else None
--- a/alderspool/lab/models/front.py
+++ b/alderspool/lab/models/front.py
@@ -1,31 +1,37 @@
-"""The front before the proxies: spreads connections over those it holds alive, and notices a death late."""
+"""The front load balancer, which spreads client connections over the proxies."""
 
 from __future__ import annotations
 
 import numpy as np
 
 
-class Front:
-    """`notice_ms`: for so long after a death connections still go there."""
-
-    def __init__(self, proxies: list[str], stream: np.random.Generator, notice_ms: float = 2000.0) -> None:
-        self._stream, self._notice_ms = stream, notice_ms
-        self._admitted = dict.fromkeys(proxies, False)
-        self._died: dict[str, float] = {}
-
-    def ready(self, proxy: str) -> None:
-        """`GET /ready` returned 200 after its start."""
-        self._admitted[proxy] = True
-        self._died.pop(proxy, None)
-
-    def died(self, now: float, proxy: str) -> None:
-        self._died.setdefault(proxy, now)
-
-    def pick(self, now: float) -> str | None:
-        """The proxy for a new connection; None while none is admitted."""
-        for proxy, at in list(self._died.items()):
-            if now - at >= self._notice_ms:
-                self._admitted[proxy] = False
-                del self._died[proxy]
-        able = [proxy for proxy, admitted in self._admitted.items() if admitted]
-        return able[self._stream.integers(len(able))] if able else None
+class FrontLoadBalancer:
+    """Chooses among the admitted proxies at random, and detects the death of one only after a delay."""
+
+    def __init__(
+        self, proxies: list[str], random: np.random.Generator, death_detection_ms: float = 2000.0
+    ) -> None:
+        self._random = random
+        self._death_detection_ms = death_detection_ms
+        self._is_admitted = dict.fromkeys(proxies, False)
+        self._died_at_ms: dict[str, float] = {}
+
+    def mark_ready(self, proxy: str) -> None:
+        """Admit a proxy whose `GET /ready` returned 200 after its start."""
+        self._is_admitted[proxy] = True
+        self._died_at_ms.pop(proxy, None)
+
+    def mark_dead(self, now_ms: float, proxy: str) -> None:
+        """Record the death of a proxy, which gets no more connections once that is detected."""
+        self._died_at_ms.setdefault(proxy, now_ms)
+
+    def pick(self, now_ms: float) -> str | None:
+        """Choose the proxy for a new connection; None while none is admitted."""
+        for proxy, died_at_ms in list(self._died_at_ms.items()):
+            if now_ms - died_at_ms >= self._death_detection_ms:
+                self._is_admitted[proxy] = False
+                del self._died_at_ms[proxy]
+        candidates = [proxy for proxy, is_admitted in self._is_admitted.items() if is_admitted]
+        if not candidates:
+            return None
+        return candidates[self._random.integers(len(candidates))]
