--- a/alderspool/protocol/upstream.py
+++ b/alderspool/protocol/upstream.py
@@ -1,23 +1,32 @@
-"""Attempts in HTTP: what an endpoint is sent, and what its reply means."""
+"""HTTP towards endpoints: the request that an attempt sends, and what the response proves.
+
+Values in, values out: no sockets and no decisions on retries.
+"""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
+from http import HTTPStatus
+from typing import NamedTuple
 
 from alderspool.balancer.events import AttemptStatus
 from alderspool.protocol.http_client import HttpClientCodec, HttpResponse
 
-BODY_LIMIT = 64 * 1024
-# What belongs to one connection, or is stated anew for this one.
+BODY_LIMIT = 64 * 1024  # bytes, of a request as of a response
+MIN_DEADLINE_MS = 1  # the smallest X-Deadline-Ms that is sent
+# Not forwarded: headers that concern one connection only, and those that are set anew for each attempt.
 HOP_BY_HOP = frozenset(
     b"connection keep-alive proxy-connection proxy-authenticate proxy-authorization te trailer"
     b" transfer-encoding upgrade expect content-length x-deadline-ms".split()
 )
+# With the header set to 1, these statuses say that the request was not executed.
+NOT_RUN_STATUSES = (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.GATEWAY_TIMEOUT)
+NOT_RUN_HEADER = b"x-not-run"
 
 
 @dataclass(slots=True)
 class ForwardedRequest:
-    """A client's request as it passes through: method, target, body and end-to-end headers unchanged."""
+    """A client's request as it is forwarded: method, target, body and end-to-end headers unchanged."""
 
     method: bytes
     target: bytes
@@ -27,33 +36,52 @@
 
 @dataclass(slots=True)
 class UpstreamResponse:
-    """An endpoint's own answer."""
+    """What is forwarded to the client of an endpoint's successful response."""
 
     body: bytes
     content_type: bytes | None = None
 
 
+class AttemptOutcome(NamedTuple):
+    """What a complete response proves of its attempt. `response` is set only where the status is OK."""
+
+    status: AttemptStatus
+    response: UpstreamResponse | None
+
+
 def upstream_codec() -> HttpClientCodec:
+    """Return the codec for one new connection to an endpoint."""
     return HttpClientCodec(BODY_LIMIT)
 
 
-def compose_attempt(wire: HttpClientCodec, request: ForwardedRequest, wait_ms: float) -> bytes:
-    wait = (b"X-Deadline-Ms", b"%d" % max(int(wait_ms), 1))
-    return wire.compose(request.method, request.target, [*request.headers, wait], request.body)
+def compose_attempt(codec: HttpClientCodec, request: ForwardedRequest, time_left_ms: float) -> bytes:
+    """Return the bytes of one attempt, with the time for which the proxy will wait for the response."""
+    deadline_ms = max(int(time_left_ms), MIN_DEADLINE_MS)
+    headers = [*request.headers, (b"X-Deadline-Ms", b"%d" % deadline_ms)]
+    return codec.compose(request.method, request.target, headers, request.body)
+
 
+def read_outcome(response: HttpResponse) -> AttemptOutcome:
+    """Return what a complete response proves.
 
-def read_outcome(reply: HttpResponse) -> tuple[AttemptStatus, UpstreamResponse | None]:
-    """What a whole reply proves. Only the node's own word proves that a attempt has not run."""
-    if reply.status == 200:
-        return AttemptStatus.OK, UpstreamResponse(reply.body, reply.headers.get(b"content-type"))
-    if reply.status in (503, 504) and reply.headers.get(b"x-not-run") == b"1":
-        return AttemptStatus.REJECTED, None
-    return AttemptStatus.ERROR, None  # it may have run
+    Only the endpoint's explicit statement (503 or 504 with `X-Not-Run: 1`) proves that the attempt was not
+    executed; after any other failure it may have been.
+    """
+    if response.status == HTTPStatus.OK:
+        content_type = response.headers.get(b"content-type")
+        return AttemptOutcome(AttemptStatus.OK, UpstreamResponse(response.body, content_type))
+    if response.status in NOT_RUN_STATUSES and response.headers.get(NOT_RUN_HEADER) == b"1":
+        return AttemptOutcome(AttemptStatus.REJECTED, None)
+    return AttemptOutcome(AttemptStatus.ERROR, None)
 
 
-def compose_health_check(wire: HttpClientCodec, host: str) -> bytes:
-    return wire.compose(b"GET", b"/health", [(b"Host", host.encode())])
+def compose_health_check(codec: HttpClientCodec, host: str) -> bytes:
+    """Return the bytes of a health check's request."""
+    return codec.compose(b"GET", b"/health", [(b"Host", host.encode())])
 
 
-def read_health_check(reply: HttpResponse) -> AttemptStatus:
-    return AttemptStatus.OK if reply.status == 200 else AttemptStatus.REJECTED
+def read_health_check(response: HttpResponse) -> AttemptStatus:
+    """Return what the response to a health check says: OK, or REJECTED for any status but 200."""
+    if response.status == HTTPStatus.OK:
+        return AttemptStatus.OK
+    return AttemptStatus.REJECTED
--- /dev/null
+++ b/alderspool/transport/idle_connections.py
@@ -0,0 +1,121 @@
+"""Which idle connection to reuse, and which to close. Decisions only: the pool acts on them.
+
+Nothing here opens, writes to or closes a connection; `is_quiet` of a connection is the only thing that is
+asked of the outside.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import Generic, NamedTuple, Protocol, TypeVar
+
+from alderspool.balancer.events import EndpointId
+from alderspool.protocol.duplicate_responses import DuplicateResponseDetector, ResponseFingerprint
+from alderspool.transport.upstream_connection import Address
+
+
+class IdleConnection(Protocol):
+    """What the decisions need to know of a connection."""
+
+    @property
+    def endpoint(self) -> EndpointId:
+        """The endpoint that the connection leads to."""
+
+    @property
+    def address(self) -> Address:
+        """Where it was opened to; the endpoint may have moved since."""
+
+    @property
+    def idle_since_s(self) -> float:
+        """When its last response was complete."""
+
+    @property
+    def last_fingerprint(self) -> ResponseFingerprint | None:
+        """The fingerprint of its last response."""
+
+    def is_quiet(self) -> bool:
+        """Whether the connection is open and nothing unread has arrived on it."""
+
+
+Connection = TypeVar("Connection", bound=IdleConnection)
+
+
+class Choice(NamedTuple, Generic[Connection]):
+    """What to do for one attempt: the connection to reuse, if any, and those found unfit on the way."""
+
+    reuse: Connection | None
+    close: list[Connection]
+
+
+class IdleConnections(Generic[Connection]):
+    """The idle connections of a pool, by endpoint and by age.
+
+    Connections are added as they become idle, so that both orders are from the longest idle to the most
+    recently used one. Each operation costs the same however many connections and endpoints there are, but
+    for `choose` (the connections that it passes over) and those that return several connections.
+    """
+
+    def __init__(self, idle_timeout_s: float, duplicates: DuplicateResponseDetector) -> None:
+        self._idle_timeout_s = idle_timeout_s
+        self._duplicates = duplicates
+        self._by_age: OrderedDict[Connection, None] = OrderedDict()
+        self._by_endpoint: dict[EndpointId, OrderedDict[Connection, None]] = {}
+
+    def __len__(self) -> int:
+        return len(self._by_age)
+
+    def add(self, connection: Connection) -> None:
+        """Add a connection that has become idle just now."""
+        self._by_age[connection] = None
+        of_endpoint = self._by_endpoint.get(connection.endpoint)
+        if of_endpoint is None:
+            of_endpoint = self._by_endpoint[connection.endpoint] = OrderedDict()
+        of_endpoint[connection] = None
+
+    def discard(self, connection: Connection) -> None:
+        """Remove a connection; one that is not idle is ignored."""
+        if connection not in self._by_age:
+            return
+        del self._by_age[connection]
+        of_endpoint = self._by_endpoint[connection.endpoint]
+        del of_endpoint[connection]
+        if not of_endpoint:
+            del self._by_endpoint[connection.endpoint]
+
+    def choose(self, endpoint: EndpointId, address: Address, now_s: float) -> Choice[Connection]:
+        """Choose the most recently used connection that is fit to carry an attempt to this address.
+
+        Nothing is removed. Connections that a duplicate response may still reach are left idle.
+        """
+        unfit: list[Connection] = []
+        for connection in reversed(self._by_endpoint.get(endpoint, ())):
+            idle_s = now_s - connection.idle_since_s
+            if not self._is_fit(connection, address, idle_s):
+                unfit.append(connection)
+            elif self._duplicates.may_reuse(connection.last_fingerprint, idle_s):
+                return Choice(connection, unfit)
+        return Choice(None, unfit)
+
+    def _is_fit(self, connection: Connection, address: Address, idle_s: float) -> bool:
+        # What arrived after the last response would be taken for the response to the next attempt.
+        if not connection.is_quiet():
+            return False
+        return idle_s < self._idle_timeout_s and connection.address == address
+
+    def of_endpoint(self, endpoint: EndpointId) -> list[Connection]:
+        """Return the connections of one endpoint, the longest idle first."""
+        return list(self._by_endpoint.get(endpoint, ()))
+
+    def expired(self, now_s: float) -> list[Connection]:
+        """Return the connections that have reached the idle timeout, the longest idle first."""
+        cutoff_s = now_s - self._idle_timeout_s
+        found: list[Connection] = []
+        for connection in self._by_age:
+            if connection.idle_since_s > cutoff_s:
+                break
+            found.append(connection)
+        return found
+
+    def longest_idle(self) -> Connection | None:
+        """Return the connection to evict first, or None if there is none."""
+        return next(iter(self._by_age), None)
--- a/alderspool/transport/upstream_pool.py
+++ b/alderspool/transport/upstream_pool.py
@@ -1,241 +1,244 @@
-"""Connections to endpoints: one attempt each at a time, reused while they are surely fresh."""
+"""The pool of connections to endpoints: one attempt at a time on each, reused while surely open.
+
+What belongs here: opening connections, writing attempts, reading responses, and reporting to the exchange.
+What does not: the choice among idle connections (`idle_connections.py`) and the states of a connection
+(`upstream_connection.py`).
+"""
 
 from __future__ import annotations
 
 import asyncio
-from collections import deque
 from collections.abc import Coroutine
 from typing import Any
 
 from alderspool.balancer.events import AttemptStatus, EndpointId
 from alderspool.balancer.settings import Settings
-from alderspool.protocol import upstream
 from alderspool.protocol.duplicate_responses import DuplicateResponseDetector, fingerprint
-from alderspool.protocol.http_client import BrokenResponseError, HttpClientCodec
+from alderspool.protocol.http_client import BrokenResponseError, HttpResponse
+from alderspool.protocol.upstream import UpstreamResponse, compose_attempt, read_outcome
 from alderspool.routing.exchange import Exchange
 from alderspool.routing.messages import Attempt
 from alderspool.transport.descriptor_budget import DescriptorBudget
-from alderspool.transport.streams import READ_SIZE, CountingReader, connect, is_quiet, read_response
-
-# A connection idle for this share of the node's limit is closed by us: the node may close it at any
-# time up to the limit, and a attempt written into that moment would be lost without proof.
-IDLE_SHARE = 0.6
-SWEEP_S = 0.5
-PROBE_S = 1.0
-SOONEST_S = 0.00015  # no node answers so soon: the way there and back alone takes longer
-Place = tuple[str, int]
-
+from alderspool.transport.health_check import check_health
+from alderspool.transport.idle_connections import IdleConnections
+from alderspool.transport.streams import READ_SIZE, connect
+from alderspool.transport.upstream_connection import Address, TransportHandle, UpstreamConnection
 
-class UpstreamConnection:
-    """One connection to an endpoint, with the attempt that it carries."""
+# We close a connection that has been idle for this share of the endpoint's own idle timeout. The endpoint may
+# close it at any time up to that timeout, and an attempt written at that moment would be lost without proof
+# that it was not executed.
+IDLE_TIMEOUT_SHARE = 0.6
+SWEEP_INTERVAL_S = 0.5
+# No response arrives sooner after its request was written: the network round trip alone takes longer.
+MIN_RESPONSE_TIME_S = 0.00015
 
-    __slots__ = ("attempt", "endpoint", "idle_since", "last", "place", "reader", "wire", "writer")
 
-    def __init__(
-        self, endpoint: EndpointId, place: Place, reader: CountingReader, writer: asyncio.StreamWriter
-    ) -> None:
-        self.endpoint, self.place, self.reader, self.writer = endpoint, place, reader, writer
-        self.wire: HttpClientCodec = upstream.upstream_codec()
-        self.attempt: Attempt | None = None
-        self.idle_since = 0.0
-        self.last: int | None = None  # the fingerprint of its last answer
+class UpstreamPool:
+    """Carries attempts to endpoints and reports to the exchange how each ended.
 
+    Owns the connections, the tasks that read them, and their part of the descriptor budget. The exchange
+    calls `dispatch`, `cancel`, `close_idle` and `probe`; none of them blocks or raises for a fault of an
+    endpoint. The end of each dispatched attempt is reported exactly once by `Exchange.attempt_ended`, which
+    may happen before `dispatch` returns; that of a cancelled one is not reported.
+    """
 
-class UpstreamPool:
     def __init__(self, exchange: Exchange, settings: Settings, budget: DescriptorBudget) -> None:
-        self._exchange, self._budget = exchange, budget
-        self._dial_s = settings.connect_timeout_ms / 1000.0
-        self._idle_s = settings.idle_timeout_ms * IDLE_SHARE / 1000.0
+        self._exchange = exchange
+        self._budget = budget
+        self._connect_timeout_s = settings.connect_timeout_ms / 1000.0
         self._loop = asyncio.get_running_loop()
         self._now = self._loop.time
-        self._second = DuplicateResponseDetector()
-        self._idle: dict[EndpointId, deque[UpstreamConnection]] = {}  # the longest idle first
+        self._duplicates = DuplicateResponseDetector()
+        idle_timeout_s = settings.idle_timeout_ms * IDLE_TIMEOUT_SHARE / 1000.0
+        self._idle: IdleConnections[UpstreamConnection] = IdleConnections(idle_timeout_s, self._duplicates)
         self._tasks: set[asyncio.Task[None]] = set()
-        budget.set_evictor(self._drop_longest_idle)
-        self._loop.call_later(SWEEP_S, self._sweep)
+        budget.set_evictor(self._evict_longest_idle)
+        self._loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
-    # ---- what the exchange asks for ------------------------------------------------------------
+    # ---- called by the exchange ----------------------------------------------------------------
 
     def dispatch(self, attempt: Attempt) -> None:
-        conn = self._take_idle(attempt)
-        if conn is not None:
-            begun = self._now()
-            self._write(conn, attempt)
-            if not is_quiet(conn.reader, conn.writer) and self._now() - begun < SOONEST_S:
-                # Sooner than any answer: it came in while we wrote. The attempt is out, and may run. Had we
-                # been kept from the processor meanwhile, it would most likely be the answer.
-                conn.attempt = attempt.transport_handle = None
-                conn.writer.transport.abort()
-                self._exchange.attempt_ended(attempt, AttemptStatus.RESET)
-        else:
-            attempt.transport_handle = self._spawn(self._dial(attempt))
+        """Write the attempt to an idle connection, or start opening one for it."""
+        connection = self._take_idle(attempt)
+        if connection is None:
+            attempt.transport_handle = self._spawn(self._run_connection(attempt))
+            return
+        began_s = self._now()
+        self._write(connection, attempt)
+        if not connection.is_quiet() and self._now() - began_s < MIN_RESPONSE_TIME_S:
+            # Sooner than any response to this attempt: it belongs to an earlier one and arrived while we
+            # wrote. The attempt is written, and may be executed. Had this process been descheduled meanwhile,
+            # it would most likely be the attempt's own response; hence the measured time.
+            connection.close()
+            self._exchange.attempt_ended(attempt, AttemptStatus.RESET)
 
     def cancel(self, attempt: Attempt) -> None:
-        transport_handle, attempt.transport_handle = attempt.transport_handle, None
-        if isinstance(transport_handle, UpstreamConnection):
-            transport_handle.attempt = None
-            transport_handle.writer.transport.abort()
-        elif transport_handle is not None:
-            transport_handle.cancel()
+        """Stop connecting, or close the connection that carries the attempt. Nothing is reported."""
+        handle: TransportHandle = attempt.transport_handle
+        attempt.transport_handle = None
+        if isinstance(handle, UpstreamConnection):
+            handle.close()
+        elif handle is not None:
+            handle.cancel()
 
     def close_idle(self, endpoint: EndpointId) -> None:
-        for conn in self._idle.pop(endpoint, ()):
-            conn.writer.transport.abort()
+        """Close the idle connections to an endpoint."""
+        for connection in self._idle.of_endpoint(endpoint):
+            self._close_idle_connection(connection)
 
     def probe(self, endpoint: EndpointId, host: str, port: int) -> None:
-        self._spawn(self._probe(endpoint, host, port))
-
-    # ---- connections ---------------------------------------------------------------------------
+        """Start a health check; its result is reported by `Exchange.health_check_ended`."""
+        self._spawn(self._run_health_check(endpoint, host, port))
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        task = self._loop.create_task(work)
-        self._tasks.add(task)  # the loop itself keeps only weak references
-        task.add_done_callback(self._tasks.discard)
-        return task
+    # ---- idle connections ----------------------------------------------------------------------
 
     def _take_idle(self, attempt: Attempt) -> UpstreamConnection | None:
-        """The freshest idle connection to where the node is now, but for those that rest."""
-        line = self._idle.get(attempt.endpoint)
-        resting: list[UpstreamConnection] = []
-        found = None
-        while line and found is None:
-            conn = line.pop()
-            idle = self._now() - conn.idle_since
-            # What came in after the last answer would pass for the answer to this attempt.
-            if not is_quiet(conn.reader, conn.writer) or idle >= self._idle_s:
-                conn.writer.transport.abort()
-            elif conn.place != (attempt.host, attempt.port):
-                conn.writer.transport.abort()
-            elif not self._second.may_follow(conn.last, idle):
-                resting.append(conn)
-            else:
-                found = conn
-        if line is not None:
-            line.extend(reversed(resting))
-        return found
-
-    async def _dial(self, attempt: Attempt) -> None:
-        tight = self._budget.is_exhausted
+        """Take an idle connection to where the endpoint is now; those found unfit are closed."""
+        choice = self._idle.choose(attempt.endpoint, Address(attempt.host, attempt.port), self._now())
+        for unfit in choice.close:
+            self._close_idle_connection(unfit)
+        if choice.reuse is not None:
+            self._idle.discard(choice.reuse)
+        return choice.reuse
+
+    def _sweep(self) -> None:
+        """Close what has reached the idle timeout, before the endpoint does."""
+        self._loop.call_later(SWEEP_INTERVAL_S, self._sweep)
+        for connection in self._idle.expired(self._now()):
+            self._close_idle_connection(connection)
+
+    def _evict_longest_idle(self) -> bool:
+        """Close one idle connection to free its descriptor; whether there was one."""
+        connection = self._idle.longest_idle()
+        if connection is None:
+            return False
+        self._close_idle_connection(connection)
+        return True
+
+    def _close_idle_connection(self, connection: UpstreamConnection) -> None:
+        self._idle.discard(connection)
+        connection.close()
+
+    # ---- connect, write, read ------------------------------------------------------------------
+
+    async def _run_connection(self, attempt: Attempt) -> None:
+        """Open a connection for the attempt, and serve it until it ends."""
+        must_evict = self._budget.is_exhausted
         if not self._budget.try_make_room():
-            self._exchange.attempt_ended(attempt, AttemptStatus.CONNECT_FAILED)  # no socket to dial with
+            self._exchange.attempt_ended(
+                attempt, AttemptStatus.CONNECT_FAILED
+            )  # no descriptor to connect with
             return
-        if (
-            tight
-        ):  # what was let go is closed as the loop comes round: else a burst of dials is over the limit
+        if must_evict:
+            # An evicted connection is closed on the event loop's next turn: without this wait, a burst of new
+            # connections would exceed the limit.
             await asyncio.sleep(0)
         self._budget.acquire()
         try:
-            try:
-                async with asyncio.timeout(self._dial_s):
-                    reader, writer = await connect(attempt.host, attempt.port)
-            except (OSError, TimeoutError):
+            connection = await self._connect(attempt)
+            if connection is None:
                 self._exchange.attempt_ended(attempt, AttemptStatus.CONNECT_FAILED)
                 return
-            attempt.transport_handle = (
-                None  # what is withdrawn from here on is not cancelled: this task closes it
-            )
-            conn = UpstreamConnection(attempt.endpoint, (attempt.host, attempt.port), reader, writer)
             try:
-                if self._exchange.may_write(attempt):
-                    self._write(conn, attempt)
-                else:  # over, or its node began to drain while we dialled
+                if not self._exchange.may_write(attempt):
+                    # Its request is over, or its endpoint began to drain while we connected.
                     self._exchange.attempt_ended(attempt, AttemptStatus.NEVER_SENT)
                     return
-                await self._read(conn)
+                self._write(connection, attempt)
+                await self._read(connection)
             finally:
-                writer.transport.abort()
+                connection.close()
         finally:
             self._budget.release()
 
-    def _write(self, conn: UpstreamConnection, attempt: Attempt) -> None:
-        data = upstream.compose_attempt(conn.wire, attempt.payload, self._exchange.time_left_ms(attempt))
-        attempt.transport_handle, conn.attempt = conn, attempt
-        attempt.written = True  # from here on it may run, whatever becomes of the connection
-        conn.writer.write(data)
-
-    async def _read(self, conn: UpstreamConnection) -> None:
-        """Reads until the connection ends; also while it idles, so that its end is noticed at once."""
-        while True:
+    async def _connect(self, attempt: Attempt) -> UpstreamConnection | None:
+        """Return a new connection to the attempt's endpoint, or None if none can be opened in time."""
+        try:
+            async with asyncio.timeout(self._connect_timeout_s):
+                reader, writer = await connect(attempt.host, attempt.port)
+        except (OSError, TimeoutError):
+            return None
+        # From here on `cancel` must not cancel the task: it has a connection to close.
+        attempt.transport_handle = None
+        return UpstreamConnection(attempt.endpoint, Address(attempt.host, attempt.port), reader, writer)
+
+    def _write(self, connection: UpstreamConnection, attempt: Attempt) -> None:
+        time_left_ms = self._exchange.time_left_ms(attempt)
+        data = compose_attempt(connection.codec, attempt.payload, time_left_ms)
+        connection.write_attempt(attempt, data)
+
+    async def _read(self, connection: UpstreamConnection) -> None:
+        """Read until the connection ends; also while it is idle, so that its end is noticed at once."""
+        is_open = True
+        while is_open:
             try:
-                data = await conn.reader.read(READ_SIZE)
+                data = await connection.reader.read(READ_SIZE)
             except OSError:
                 data = None
-            attempt = conn.attempt
-            if attempt is None:  # it ended while idle, was withdrawn, or the node says what nobody asked
-                self._forget(conn)
-                return
-            try:
-                reply = conn.wire.receive(data)
-            except BrokenResponseError:
-                self._end(conn, attempt, AttemptStatus.RESET)
-                return
-            if reply is None:
-                continue
-            before, conn.last = conn.last, fingerprint(reply)
-            if self._second.is_second(before, conn.last, self._now() - conn.idle_since):
-                self._end(
-                    conn, attempt, AttemptStatus.RESET
-                )  # its own answer may be on the way; nobody can tell
-                return
-            status, answer = upstream.read_outcome(reply)
-            reusable = conn.wire.reusable and bool(data)
-            self._end(conn, attempt, status, answer, keep=reusable)
-            if not reusable:
+            attempt = connection.attempt
+            if attempt is None:
+                # It ended while idle, its attempt was cancelled, or the response is unsolicited.
+                self._idle.discard(connection)
                 return
+            is_open = self._receive(connection, attempt, data)
+
+    def _receive(self, connection: UpstreamConnection, attempt: Attempt, data: bytes | None) -> bool:
+        """Process what was read while an attempt was out; whether to read on.
+
+        `data` is empty at the end of the stream, and None where the connection was reset.
+        """
+        try:
+            response = connection.codec.receive(data)
+        except BrokenResponseError:
+            self._retire(connection, attempt, AttemptStatus.RESET)
+            return False
+        if response is None:
+            return True
+        if self._is_duplicate(connection, response):
+            # The attempt's own response may be on its way, or not: nobody can tell.
+            self._retire(connection, attempt, AttemptStatus.RESET)
+            return False
+        status, upstream_response = read_outcome(response)
+        if not data or not connection.codec.reusable:
+            self._retire(connection, attempt, status, upstream_response)
+            return False
+        connection.become_idle(self._now())
+        self._idle.add(connection)
+        self._exchange.attempt_ended(attempt, status, upstream_response)
+        return True
 
-    def _end(
+    def _is_duplicate(self, connection: UpstreamConnection, response: HttpResponse) -> bool:
+        previous = connection.last_fingerprint
+        connection.last_fingerprint = fingerprint(response)
+        elapsed_s = self._now() - connection.idle_since_s
+        return self._duplicates.is_duplicate(previous, connection.last_fingerprint, elapsed_s)
+
+    def _retire(
         self,
-        conn: UpstreamConnection,
+        connection: UpstreamConnection,
         attempt: Attempt,
         status: AttemptStatus,
-        answer: upstream.UpstreamResponse | None = None,
-        keep: bool = False,
+        response: UpstreamResponse | None = None,
     ) -> None:
-        conn.attempt = attempt.transport_handle = None
-        if keep:
-            conn.idle_since = self._now()
-            self._idle.setdefault(conn.endpoint, deque()).append(conn)
-        self._exchange.attempt_ended(attempt, status, answer)
-
-    def _forget(self, conn: UpstreamConnection) -> None:
-        line = self._idle.get(conn.endpoint)
-        if line and conn in line:
-            line.remove(conn)
+        """Report the end of an attempt whose connection cannot be reused."""
+        connection.retire()
+        self._exchange.attempt_ended(attempt, status, response)
 
-    def _sweep(self) -> None:
-        """Closes what has idled long, before the node does."""
-        self._loop.call_later(SWEEP_S, self._sweep)
-        oldest = self._now() - self._idle_s
-        for endpoint, line in list(self._idle.items()):
-            while line and line[0].idle_since <= oldest:
-                line.popleft().writer.transport.abort()
-            if not line:
-                del self._idle[endpoint]
-
-    def _drop_longest_idle(self) -> bool:
-        """Gives a descriptor back, where one is to spare."""
-        lines = [line for line in self._idle.values() if line]
-        if not lines:
-            return False
-        min(lines, key=lambda line: line[0].idle_since).popleft().writer.transport.abort()
-        return True
+    # ---- health checks and tasks ---------------------------------------------------------------
 
-    async def _probe(self, endpoint: EndpointId, host: str, port: int) -> None:
-        started, status = self._loop.time(), AttemptStatus.CONNECT_FAILED
+    async def _run_health_check(self, endpoint: EndpointId, host: str, port: int) -> None:
+        began_s = self._loop.time()
+        status = AttemptStatus.CONNECT_FAILED
         self._budget.acquire()
         try:
-            async with asyncio.timeout(PROBE_S):
-                reader, writer = await connect(host, port)
-                try:
-                    status, wire = AttemptStatus.TIMEOUT, upstream.upstream_codec()
-                    writer.write(upstream.compose_health_check(wire, host))
-                    status = upstream.read_health_check(await read_response(reader, wire))
-                finally:
-                    writer.transport.abort()
-        except TimeoutError:
-            pass
-        except (OSError, BrokenResponseError):
-            status = AttemptStatus.RESET if status == AttemptStatus.TIMEOUT else status
+            status = await check_health(host, port)
         finally:
             self._budget.release()
-            self._exchange.health_check_ended(endpoint, status, (self._loop.time() - started) * 1000.0)
+            took_ms = (self._loop.time() - began_s) * 1000.0
+            self._exchange.health_check_ended(endpoint, status, took_ms)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = self._loop.create_task(work)
+        self._tasks.add(task)  # the event loop itself keeps only weak references
+        task.add_done_callback(self._tasks.discard)
+        return task
