--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -1,4 +1,4 @@
-"""Tables of cases for the parsers: clients' requests, endpoints' replies, the endpoint list."""
+"""The protocol parsers: client requests, responses of endpoints, the endpoint list. No I/O."""
 
 from __future__ import annotations
 
@@ -22,13 +22,18 @@
     RequestReader,
     as_http,
 )
-from alderspool.protocol.duplicate_responses import SOON_S, SURE, DuplicateResponseDetector, fingerprint
+from alderspool.protocol.duplicate_responses import (
+    DUPLICATE_WINDOW_S,
+    MIN_DISTINCT_RESPONSES,
+    DuplicateResponseDetector,
+    fingerprint,
+)
 from alderspool.protocol.endpoint_list import EndpointListError
 from alderspool.protocol.http_client import BrokenResponseError, HttpResponse
 from alderspool.routing.messages import ClientRequest, Failed, Rejected, Served
 
-CFG = read_settings(flatten(SETTINGS))
-READER = RequestReader(CFG)
+PARSED_SETTINGS = read_settings(flatten(SETTINGS))
+READER = RequestReader(PARSED_SETTINGS)
 
 
 def read_request(data: bytes) -> object:
@@ -38,23 +43,24 @@
     return READER.read(step) if isinstance(step, RawRequest) else step
 
 
-def test_a_good_request_is_read_whole() -> None:
-    got = read_request(request("put", 480, b"body", X_Retry="1", X_Cost_Hint="12.5"))
-    assert isinstance(got, ClientRequest)
-    assert (got.cls, got.tenant, got.time_left_ms, got.is_retry) == (2, 0, 480.0, True)
-    assert got.cost_hint_ms == 12.5
-    assert (got.payload.method, got.payload.target) == (b"POST", b"/put/7f3a?x=1")
-    assert got.payload.body == b"body"
-    assert not {b"x-deadline-ms", b"content-length"} & {name for name, _ in got.payload.headers}
+def test_reads_a_valid_request_completely() -> None:
+    read = read_request(request("put", 480, b"body", X_Retry="1", X_Cost_Hint="12.5"))
+    assert isinstance(read, ClientRequest)
+    assert (read.cls, read.tenant, read.time_left_ms, read.is_retry) == (2, 0, 480.0, True)
+    assert read.cost_hint_ms == 12.5
+    assert (read.payload.method, read.payload.target) == (b"POST", b"/put/7f3a?x=1")
+    assert read.payload.body == b"body"
+    assert not {b"x-deadline-ms", b"content-length"} & {name for name, _ in read.payload.headers}
 
 
-def test_only_the_head_and_the_body_of_a_request_are_read() -> None:
-    """Not what stands in trailers, and not the wish to go on in another protocol."""
+def test_ignores_trailers_and_protocol_upgrades() -> None:
+    """Header fields in trailers and `Upgrade` have no effect on a request."""
     body = b"".join(b"1;x=y\r\n%c\r\n" % c for c in b"four") + b"0\r\nX-Class: look\r\nX-Evil: 1\r\n\r\n"
     sent = request("pay", Content_Length=None, Transfer_Encoding="chunked", body=body)
-    got = read_request(sent)
-    assert isinstance(got, ClientRequest) and got.payload.body == b"four"
-    assert b"x-evil" not in dict(got.payload.headers)
+    read = read_request(sent)
+    assert isinstance(read, ClientRequest)
+    assert read.payload.body == b"four"
+    assert b"x-evil" not in dict(read.payload.headers)
     wire = HttpServerCodec()
     wire.receive(request("look", Connection="Upgrade, HTTP2-Settings", Upgrade="h2c") + request("pay"))
     assert isinstance(READER.read(wire.next()), ClientRequest)
@@ -62,62 +68,82 @@
     assert wire.next().method == b"POST"
 
 
-def test_the_key_is_stable_and_never_zero() -> None:
+def test_request_key_is_stable_and_differs_from_no_key() -> None:
     one, two = read_request(request("look")), read_request(request("pay"))
     assert one.key == two.key == 1734263071609238019
     assert read_request(request("look").replace(b"/look/7f3a?x=1", b"/look")).key == 0
 
 
-BAD = [
-    (b"rubbish\r\n\r\n", 400),
-    (b"\x00\x16\x03\x01\r\n\r\n", 400),
-    (b"GET /look/1 HTTP/1.1\r\n\r\n", 400),
-    (b"GET /look/1 HTTP/9.9\r\nHost: x\r\n\r\n", 400),
-    (b"GET /look/1 HTTP/2.0\r\nHost: x\r\n\r\n", 400),
-    (b"\r\n" * 40000, 431),
-    (request("look", X_A="b\r\n folded"), 400),
-    (request("look").replace(b"\r\n", b"\n"), 400),
-    (request("pay", Transfer_Encoding="chunked", Content_Length=None, body=b"4\r\nabcd\r\nzz\r\n"), 400),
-    (request("pay", Transfer_Encoding="chunked", Content_Length=None, body=b"1\r\na\r\n" * 70000), 413),
-    (request("look", X_A="b" * 70000), 431),
-    (request("pay", body=b"x" * 65537), 413),
-    (request("pay", Content_Length="nine"), 400),
-    (request("pay", Content_Length="-1"), 400),
-    (request("pay", Content_Length="9" * 5000), 400),
-    (request("pay", Content_Length="4, 5", body=b"four"), 400),
-    (request("pay", body=b"four").replace(b"X-Tenant", b"Content-Length: 5\r\nX-Tenant"), 400),
-    (request("pay", Transfer_Encoding="gzip"), 400),
-    # A request in the body of another: passed on, it would be sent twice by whoever reads it otherwise.
-    (request("pay", Transfer_Encoding="chunked", body=b"0\r\n\r\n" + request("pay")), 400),
-    (request("look").replace(b"/look/7f3a", b"/elsewhere/1"), 404),
-    (request("look").replace(b"/look/7f3a", b"/"), 404),
-    (request("look").replace(b"/look/7f3a", b"*"), 404),
-    (b"POST /ready HTTP/1.1\r\nHost: x\r\n\r\n", 405),
-    (request("look").replace(b"GET", b"POST"), 405),
-    (request("pay").replace(b"POST", b"GET"), 405),
-    (request("pay").replace(b"POST", b"PUT"), 405),
-    (request("look", X_Class="pay"), 400),
-    (request("look", X_Class=None), 400),
-    (request("look", X_Tenant="nobody"), 400),
-    (request("look", X_Tenant=None), 400),
-    (request("look", X_Deadline_Ms=None), 400),
-    (request("look", X_Request_Id=None), 400),
-    (request("look", X_Request_Id=""), 400),
-    (request("look").replace(b"X-Tenant", b"X-Deadline-Ms: 9\r\nX-Tenant"), 400),
-    (request("put", Idempotency_Key=None), 400),
-    (request("pay", Idempotency_Key="k"), 400),
-    (request("look", Content_Length="1") + b"x", 400),
-    *(
-        (request("look", X_Deadline_Ms=v), 400)
-        for v in ("", "0", "-5", "1.5", "1e3", "x", "9" * 40, "\u0663")
+# A second request in the body of the first: a server that reads the length differently would execute it.
+SMUGGLED = request("pay", Transfer_Encoding="chunked", body=b"0\r\n\r\n" + request("pay"))
+INVALID_REQUESTS = {
+    "no-http": (b"rubbish\r\n\r\n", 400),
+    "tls-hello": (b"\x00\x16\x03\x01\r\n\r\n", 400),
+    "no-host": (b"GET /look/1 HTTP/1.1\r\n\r\n", 400),
+    "http-9.9": (b"GET /look/1 HTTP/9.9\r\nHost: x\r\n\r\n", 400),
+    "http-2.0": (b"GET /look/1 HTTP/2.0\r\nHost: x\r\n\r\n", 400),
+    "endless-line-ends": (b"\r\n" * 40000, 431),
+    "folded-header": (request("look", X_A="b\r\n folded"), 400),
+    "bare-line-feeds": (request("look").replace(b"\r\n", b"\n"), 400),
+    "invalid-chunk-size": (
+        request("pay", Transfer_Encoding="chunked", Content_Length=None, body=b"4\r\nabcd\r\nzz\r\n"),
+        400,
     ),
-]
-
-
-@pytest.mark.parametrize(("data", "status"), BAD)
-def test_bad_requests_are_rejected(data: bytes, status: int) -> None:
-    got = read_request(data)
-    assert isinstance(got, InvalidRequest) and got.status == status
+    "chunked-body-too-long": (
+        request("pay", Transfer_Encoding="chunked", Content_Length=None, body=b"1\r\na\r\n" * 70000),
+        413,
+    ),
+    "head-too-long": (request("look", X_A="b" * 70000), 431),
+    "body-too-long": (request("pay", body=b"x" * 65537), 413),
+    "length-in-words": (request("pay", Content_Length="nine"), 400),
+    "negative-length": (request("pay", Content_Length="-1"), 400),
+    "length-of-5000-digits": (request("pay", Content_Length="9" * 5000), 400),
+    "two-lengths-in-one-field": (request("pay", Content_Length="4, 5", body=b"four"), 400),
+    "two-length-fields": (
+        request("pay", body=b"four").replace(b"X-Tenant", b"Content-Length: 5\r\nX-Tenant"),
+        400,
+    ),
+    "unknown-transfer-encoding": (request("pay", Transfer_Encoding="gzip"), 400),
+    "smuggled-request": (SMUGGLED, 400),
+    "unknown-path": (request("look").replace(b"/look/7f3a", b"/elsewhere/1"), 404),
+    "root-path": (request("look").replace(b"/look/7f3a", b"/"), 404),
+    "asterisk-target": (request("look").replace(b"/look/7f3a", b"*"), 404),
+    "post-ready": (b"POST /ready HTTP/1.1\r\nHost: x\r\n\r\n", 405),
+    "post-for-get": (request("look").replace(b"GET", b"POST"), 405),
+    "get-for-post": (request("pay").replace(b"POST", b"GET"), 405),
+    "put-for-post": (request("pay").replace(b"POST", b"PUT"), 405),
+    "class-differs-from-path": (request("look", X_Class="pay"), 400),
+    "no-class": (request("look", X_Class=None), 400),
+    "unknown-tenant": (request("look", X_Tenant="nobody"), 400),
+    "no-tenant": (request("look", X_Tenant=None), 400),
+    "no-deadline": (request("look", X_Deadline_Ms=None), 400),
+    "no-request-id": (request("look", X_Request_Id=None), 400),
+    "empty-request-id": (request("look", X_Request_Id=""), 400),
+    "two-deadlines": (request("look").replace(b"X-Tenant", b"X-Deadline-Ms: 9\r\nX-Tenant"), 400),
+    "no-idempotency-key": (request("put", Idempotency_Key=None), 400),
+    "unexpected-idempotency-key": (request("pay", Idempotency_Key="k"), 400),
+    "get-with-a-body": (request("look", Content_Length="1") + b"x", 400),
+    **{
+        f"deadline-{name}": (request("look", X_Deadline_Ms=value), 400)
+        for name, value in {
+            "empty": "",
+            "zero": "0",
+            "negative": "-5",
+            "fraction": "1.5",
+            "exponent": "1e3",
+            "letter": "x",
+            "40-digits": "9" * 40,
+            "arabic-digit": "\u0663",
+        }.items()
+    },
+}
+
+
+@pytest.mark.parametrize(("data", "status"), INVALID_REQUESTS.values(), ids=INVALID_REQUESTS.keys())
+def test_rejects_an_invalid_request(data: bytes, status: int) -> None:
+    read = read_request(data)
+    assert isinstance(read, InvalidRequest)
+    assert read.status == status
 
 
 @pytest.mark.parametrize(
@@ -127,87 +153,103 @@
         (request("pay", body=b"abc")[:-1], NEED_DATA),
         (request("pay", body=b"abc", Expect="100-continue")[:-3], CONTINUE),
     ],
+    ids=["nothing", "body-incomplete", "expects-100-continue"],
 )
-def test_unfinished_requests_wait(data: bytes, step: str) -> None:
+def test_incomplete_request_needs_more_data(data: bytes, step: str) -> None:
     wire = HttpServerCodec()
     if data:
         wire.receive(data)
     assert wire.next() is step
 
 
-def test_ready_is_asked_for_and_a_second_request_waits_its_turn() -> None:
+def test_reads_a_readiness_query() -> None:
     assert isinstance(read_request(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"), ReadinessQuery)
+
+
+def test_pipelined_request_is_paused_until_the_response_to_the_first() -> None:
     wire = HttpServerCodec()
     wire.receive(request() + request("pay"))
-    assert wire.next().method == b"GET" and wire.next() is PAUSED
+    assert wire.next().method == b"GET"
+    assert wire.next() is PAUSED
     assert wire.compose(200, b"", [], close=False)[1] is False
     assert wire.next().method == b"POST"
     out, last = wire.compose(200, b"", [], close=True)
-    assert last and b"Connection: close" in out
+    assert last
+    assert b"Connection: close" in out
 
 
-ANSWERS = [
-    (Served(upstream.UpstreamResponse(b"x", b"text/plain")), 200, (b"Content-Type", b"text/plain")),
-    (Rejected(1500.0), 503, (b"Retry-After", b"1.500")),
-    (Rejected(), 503, None),
-    (Failed(), 502, None),
-    (Failed(timed_out=True), 504, None),
-]
+FINAL_RESPONSES = {
+    "served": (
+        Served(upstream.UpstreamResponse(b"x", b"text/plain")),
+        200,
+        (b"Content-Type", b"text/plain"),
+    ),
+    "rejected-with-retry-after": (Rejected(1500.0), 503, (b"Retry-After", b"1.500")),
+    "rejected": (Rejected(), 503, None),
+    "failed": (Failed(), 502, None),
+    "timed-out": (Failed(timed_out=True), 504, None),
+}
 
 
-@pytest.mark.parametrize(("answer", "status", "header"), ANSWERS)
-def test_final_answers(answer: object, status: int, header: tuple[bytes, bytes] | None) -> None:
-    got, _, headers = as_http(answer)
-    assert got == status
-    assert header in headers if header else all(name != b"Retry-After" for name, _ in headers)
+@pytest.mark.parametrize(
+    ("response", "status", "header"), FINAL_RESPONSES.values(), ids=FINAL_RESPONSES.keys()
+)
+def test_composes_final_responses(response: object, status: int, header: tuple[bytes, bytes] | None) -> None:
+    sent_status, _, headers = as_http(response)
+    assert sent_status == status
+    if header is None:
+        assert all(name != b"Retry-After" for name, _ in headers)
+    else:
+        assert header in headers
 
 
-REPLIES = [
-    (OK, AttemptStatus.OK),
-    (
-        OK.replace(
-            b"Content-Length: 4\r\n\r\ndone", b"Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n"
-        ),
-        AttemptStatus.OK,
-    ),
-    (b"HTTP/1.1 100 Continue\r\n\r\n" + OK, AttemptStatus.OK),
-    (NOT_RUN, AttemptStatus.REJECTED),
-    (NOT_RUN.replace(b"503", b"504"), AttemptStatus.REJECTED),
-    (NOT_RUN.replace(b"503", b"500"), AttemptStatus.ERROR),
-    (NOT_RUN.replace(b": 1", b": 0"), AttemptStatus.ERROR),
-    (OK.replace(b"200", b"204"), AttemptStatus.ERROR),
-    (OK.replace(b"200", b"302"), AttemptStatus.ERROR),
-    (OK.replace(b"200", b"500"), AttemptStatus.ERROR),
-    (OK.replace(b"Content-Length: 4\r\n", b""), AttemptStatus.OK),
-    (NOT_RUN.replace(b"Content-Length: 0\r\n", b""), AttemptStatus.REJECTED),
-    (OK.replace(b"Content-Length: 4\r\n", b"") + b"x" * 70000, None),
-    (
-        OK.replace(b"Content-Length: 4", b"Transfer-Encoding: chunked").replace(b"done", b"4\r\ndone\r\n"),
-        None,
-    ),
-    (OK[:-1], None),
-    (OK.replace(b"4", b"70000"), None),
-    (b"SSH-2.0-OpenSSH\r\n", None),
-    (b"", None),
-]
-
-
-@pytest.mark.parametrize(("data", "status"), REPLIES)
-def test_what_a_nodes_reply_proves(data: bytes, status: AttemptStatus | None) -> None:
-    """None: broken off, so that nothing of it is passed on."""
-    for step in (len(data) or 1, 7):  # whole, and in pieces
-        wire = upstream.upstream_codec()
-        upstream.compose_attempt(wire, read_request(request("pay")).payload, 99.9)
-        reply, parts = None, [data[i : i + step] for i in range(0, len(data), step)]
+OK_CHUNKED = OK.replace(
+    b"Content-Length: 4\r\n\r\ndone", b"Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n"
+)
+OK_WITHOUT_LENGTH = OK.replace(b"Content-Length: 4\r\n", b"")
+OK_WITHOUT_LAST_CHUNK = OK.replace(b"Content-Length: 4", b"Transfer-Encoding: chunked").replace(
+    b"done", b"4\r\ndone\r\n"
+)
+RESPONSES = {
+    "ok": (OK, AttemptStatus.OK),
+    "ok-chunked": (OK_CHUNKED, AttemptStatus.OK),
+    "ok-after-100-continue": (b"HTTP/1.1 100 Continue\r\n\r\n" + OK, AttemptStatus.OK),
+    "not-run-503": (NOT_RUN, AttemptStatus.REJECTED),
+    "not-run-504": (NOT_RUN.replace(b"503", b"504"), AttemptStatus.REJECTED),
+    "not-run-500": (NOT_RUN.replace(b"503", b"500"), AttemptStatus.ERROR),
+    "not-run-0": (NOT_RUN.replace(b": 1", b": 0"), AttemptStatus.ERROR),
+    "204": (OK.replace(b"200", b"204"), AttemptStatus.ERROR),
+    "302": (OK.replace(b"200", b"302"), AttemptStatus.ERROR),
+    "500": (OK.replace(b"200", b"500"), AttemptStatus.ERROR),
+    "ok-without-length": (OK_WITHOUT_LENGTH, AttemptStatus.OK),
+    "not-run-without-length": (NOT_RUN.replace(b"Content-Length: 0\r\n", b""), AttemptStatus.REJECTED),
+    "without-length-too-long": (OK_WITHOUT_LENGTH + b"x" * 70000, None),
+    "last-chunk-missing": (OK_WITHOUT_LAST_CHUNK, None),
+    "body-incomplete": (OK[:-1], None),
+    "length-over-the-limit": (OK.replace(b"4", b"70000"), None),
+    "no-http": (b"SSH-2.0-OpenSSH\r\n", None),
+    "nothing": (b"", None),
+}
+
+
+@pytest.mark.parametrize(("data", "status"), RESPONSES.values(), ids=RESPONSES.keys())
+def test_outcome_of_an_attempt_by_its_response(data: bytes, status: AttemptStatus | None) -> None:
+    """None: the response is broken, so that nothing of it is forwarded."""
+    for step in (len(data) or 1, 7):  # at once, and in pieces
+        codec = upstream.upstream_codec()
+        upstream.compose_attempt(codec, read_request(request("pay")).payload, 99.9)
+        response = None
+        pieces = [data[start : start + step] for start in range(0, len(data), step)]
         try:
-            for part in [*parts, b""]:
-                reply = reply or wire.receive(part)
+            for piece in [*pieces, b""]:
+                response = response or codec.receive(piece)
         except BrokenResponseError:
             assert status is None
         else:
-            got, answer = upstream.read_outcome(reply)
-            assert got == status
-            assert (answer.body if answer else None) == (b"done" if got == AttemptStatus.OK else None)
+            outcome = upstream.read_outcome(response)
+            assert outcome.status == status
+            body = outcome.response.body if outcome.response else None
+            assert body == (b"done" if outcome.status == AttemptStatus.OK else None)
 
 
 @pytest.mark.parametrize(
@@ -223,45 +265,67 @@
         b"HTTP/1.1 200 OK\r\n" + b"X-Pad: p\r\n" * 6000,
         b"HTTP/1.1 103 Early Hints\r\n\r\n" * 100,
     ],
+    ids=[
+        "length-over-the-limit",
+        "length-of-5000-digits",
+        "length-and-chunked",
+        "header-too-long",
+        "status-not-a-number",
+        "status-of-one-digit",
+        "two-length-fields",
+        "too-many-headers",
+        "too-many-interim-responses",
+    ],
 )
-def test_a_spoilt_reply_is_broken_off_by_its_head(head: bytes) -> None:
+def test_rejects_a_malformed_response_by_its_head(head: bytes) -> None:
     wire = upstream.upstream_codec()
     upstream.compose_attempt(wire, read_request(request("pay")).payload, 99.9)
     with pytest.raises(BrokenResponseError):
         wire.receive(head)
 
 
-@pytest.mark.parametrize("more", [b"", OK, b"noise", b"HT"])
-def test_what_follows_a_reply_leaves_it_good_and_its_connection_useless(more: bytes) -> None:
-    wire = upstream.upstream_codec()
-    upstream.compose_attempt(wire, read_request(request("pay")).payload, 99.9)
-    assert wire.receive(OK + more).body == b"done" and wire.reusable is not bool(more)
+@pytest.mark.parametrize(
+    "more", [b"", OK, b"noise", b"HT"], ids=["nothing", "second-response", "no-http", "part-of-a-status-line"]
+)
+def test_data_after_a_response_keeps_it_valid_and_prevents_reuse(more: bytes) -> None:
+    codec = upstream.upstream_codec()
+    upstream.compose_attempt(codec, read_request(request("pay")).payload, 99.9)
+    assert codec.receive(OK + more).body == b"done"
+    assert codec.reusable is not bool(more)
 
 
-def test_a_attempt_says_how_long_the_proxy_will_wait() -> None:
+def test_attempt_carries_its_deadline_and_body() -> None:
     payload = read_request(request("pay", 480, b"abc")).payload
     sent = upstream.compose_attempt(upstream.upstream_codec(), payload, 99.9)
     assert b"X-Deadline-Ms: 99\r\n" in sent and sent.endswith(b"\r\n\r\nabc")
 
 
-LINE = {"name": "s-1", "address": "10.1.0.18:3000", "zone": "b", "type": "m2", "group": 3, "status": "ready"}
+ENTRY = {"name": "s-1", "address": "10.1.0.18:3000", "zone": "b", "type": "m2", "group": 3, "status": "ready"}
 
 
-def listed(**changes: object) -> bytes:
-    line = {k: v for k, v in (LINE | changes).items() if v is not None}
-    return json.dumps({"index": 41, "snapshot": True, "endpoints": [line]}).encode()
+def list_body(**changes: object) -> bytes:
+    """Return the body of an endpoint list with one entry; None removes a key."""
+    entry = {key: value for key, value in (ENTRY | changes).items() if value is not None}
+    return json.dumps({"index": 41, "snapshot": True, "endpoints": [entry]}).encode()
 
 
-def test_a_endpoint_list_is_read() -> None:
-    told = endpoint_list.read_list(
-        HttpResponse(200, {}, listed(weight=1.5, since_ms=1.7e12, status="draining")), CFG
+def test_reads_an_endpoint_list() -> None:
+    received = endpoint_list.read_list(
+        HttpResponse(200, {}, list_body(weight=1.5, since_ms=1.7e12, status="draining")), PARSED_SETTINGS
     )
-    (endpoint,) = told.endpoints
+    (endpoint,) = received.endpoints
     entry = endpoint.entry
-    assert (told.revision, told.is_complete, endpoint.host, endpoint.port) == (41, True, "10.1.0.18", 3000)
+    assert (received.revision, received.is_complete, endpoint.host, endpoint.port) == (
+        41,
+        True,
+        "10.1.0.18",
+        3000,
+    )
     assert (entry.id, entry.weight, entry.cell, entry.started_at_ms) == (b"s-1", 1.5, 3, 1.7e12)
     assert (entry.availability, entry.zone, entry.endpoint_type) == (Availability.DRAINING, 1, 0)
-    (endpoint,) = endpoint_list.read_list(HttpResponse(200, {}, listed(zone="c", since_ms=0)), CFG).endpoints
+    (endpoint,) = endpoint_list.read_list(
+        HttpResponse(200, {}, list_body(zone="c", since_ms=0)), PARSED_SETTINGS
+    ).endpoints
     assert endpoint.entry.zone not in (0, 1) and endpoint.entry.started_at_ms == 0.0
 
 
@@ -273,61 +337,86 @@
         b"\xff\xfe",
         b'{"index":1}',
         b'{"index":"x","snapshot":true,"endpoints":[]}',
-        listed(name=None),
-        listed(name=""),
-        listed(status="resting"),
-        listed(group=-1),
-        listed(since_ms=-1),
-        listed(since_ms="soon"),
+        list_body(name=None),
+        list_body(name=""),
+        list_body(status="resting"),
+        list_body(group=-1),
+        list_body(since_ms=-1),
+        list_body(since_ms="soon"),
         *(
-            listed(address=a)
-            for a in (None, "", "host:80", "10.0.0.1", "10.0.0.1:0", "10.0.0.1:70000", ":80")
+            list_body(address=address)
+            for address in (None, "", "host:80", "10.0.0.1", "10.0.0.1:0", "10.0.0.1:70000", ":80")
         ),
     ],
+    ids=[
+        "empty",
+        "array",
+        "no-utf-8",
+        "no-endpoints",
+        "index-not-a-number",
+        "no-name",
+        "empty-name",
+        "unknown-status",
+        "negative-group",
+        "negative-start",
+        "start-not-a-number",
+        "no-address",
+        "empty-address",
+        "host-name",
+        "no-port",
+        "port-0",
+        "port-70000",
+        "no-host",
+    ],
 )
-def test_garbage_is_no_endpoint_list(body: bytes) -> None:
+def test_rejects_an_invalid_endpoint_list(body: bytes) -> None:
     with pytest.raises(EndpointListError):
-        endpoint_list.read_list(HttpResponse(200, {}, body), CFG)
+        endpoint_list.read_list(HttpResponse(200, {}, body), PARSED_SETTINGS)
 
 
-def test_a_failed_call_is_no_endpoint_list() -> None:
+def test_rejects_an_endpoint_list_with_an_error_status() -> None:
     with pytest.raises(EndpointListError, match="503"):
-        endpoint_list.read_list(HttpResponse(503, {}, listed()), CFG)
+        endpoint_list.read_list(HttpResponse(503, {}, list_body()), PARSED_SETTINGS)
 
 
-# ---- second answers ----------------------------------------------------------------------------------
+# ---- duplicate responses ----------------------------------------------------------------------------------
 
 
-def test_an_answer_equal_to_the_last_is_a_second_copy_only_if_it_is_soon_and_answers_differ_here() -> None:
-    second = DuplicateResponseDetector()
-    soon, late = SOON_S / 4, SOON_S
-    assert not second.may_follow(1, soon) and second.may_follow(1, late)  # nothing is known yet: rest
-    assert not second.is_second(1, 1, soon)
-    for n in range(SURE):
-        assert not second.may_follow(1, soon)
-        assert not second.is_second(n, n + 1, soon)
-    assert second.may_follow(1, soon)
-    assert second.is_second(7, 7, soon)
-    assert second.may_follow(1, soon)  # a copy is no evidence against it
-    assert not second.may_follow(None, soon) and not second.is_second(None, None, soon)  # refusals are alike
-    assert not second.is_second(7, 7, late)  # alike in earnest
-    assert not second.may_follow(1, soon) and not second.is_second(8, 8, soon)
+def test_equal_response_is_a_duplicate_only_within_the_window_and_where_responses_differ() -> None:
+    detector = DuplicateResponseDetector()
+    early, late = DUPLICATE_WINDOW_S / 4, DUPLICATE_WINDOW_S
+    assert not detector.may_reuse(1, early)  # nothing is known yet: the connection stays idle
+    assert detector.may_reuse(1, late)
+    assert not detector.is_duplicate(1, 1, early)
+    for number in range(MIN_DISTINCT_RESPONSES):
+        assert not detector.may_reuse(1, early)
+        assert not detector.is_duplicate(number, number + 1, early)
+    assert detector.may_reuse(1, early)
+    assert detector.is_duplicate(7, 7, early)
+    assert detector.may_reuse(1, early)  # a duplicate is no evidence that responses are alike
+    assert not detector.may_reuse(None, early)  # rejections are alike
+    assert not detector.is_duplicate(None, None, early)
+    assert not detector.is_duplicate(7, 7, late)  # too late for a duplicate: responses are alike here
+    assert not detector.may_reuse(1, early)
+    assert not detector.is_duplicate(8, 8, early)
 
 
 @pytest.mark.parametrize(("status", "body"), [(503, b"x"), (500, b"x"), (200, b"")])
-def test_answers_that_are_alike_by_nature_have_no_fingerprint(status: int, body: bytes) -> None:
+def test_responses_that_are_normally_alike_have_no_fingerprint(status: int, body: bytes) -> None:
     assert fingerprint(HttpResponse(status, {}, body)) is None
     assert fingerprint(HttpResponse(200, {}, b"a")) == fingerprint(HttpResponse(200, {}, b"a")) is not None
 
 
-def test_zones_and_types_that_nobody_named_are_told_apart() -> None:
-    """A repeat that is harmless inside a zone would else go to any other that the settings do not know."""
+def test_distinguishes_zones_and_types_that_the_settings_do_not_name() -> None:
+    """Else a retry that is safe only within its zone could go to another zone unknown to the settings."""
     settings = read_settings(flatten(SETTINGS))
     lines = [
-        endpoint_list.EndpointDoc(f"s{n}", "127.0.0.1:1", "ready", zone=zone, type=zone)
-        for n, zone in enumerate(("a", "elsewhere", "nowhere", "elsewhere", "b"))
+        endpoint_list.EndpointDoc(f"s{number}", "127.0.0.1:1", "ready", zone=zone, type=zone)
+        for number, zone in enumerate(("a", "elsewhere", "nowhere", "elsewhere", "b"))
     ]
-    told = endpoint_list.to_endpoint_list(endpoint_list.EndpointListDoc(1, True, lines), settings)
-    zones = [m.entry.zone for m in told.endpoints]
-    assert (zones[0], zones[4]) == (0, 1) and zones[1] == zones[3]
-    assert len(set(zones)) == 4 and len({m.entry.endpoint_type for m in told.endpoints}) == 4
+    received = endpoint_list.to_endpoint_list(endpoint_list.EndpointListDoc(1, True, lines), settings)
+    zones = [endpoint.entry.zone for endpoint in received.endpoints]
+    assert (zones[0], zones[4]) == (0, 1)
+    assert zones[1] == zones[3]
+    assert len(set(zones)) == 4
+    assert len({endpoint.entry.endpoint_type for endpoint in received.endpoints}) == 4
