--- a/alderspool/protocol/duplicate_responses.py
+++ b/alderspool/protocol/duplicate_responses.py
@@ -13,10 +13,10 @@
 
 from __future__ import annotations
 
-from http import HTTPStatus
 from typing import TypeAlias
 
 from alderspool.protocol.http_client import HttpResponse
+from alderspool.protocol.upstream import STATUS_OK
 
 DUPLICATE_WINDOW_S = 0.01  # no duplicate arrives later than this after the first copy
 MIN_DISTINCT_RESPONSES = 20  # in a row, before equal responses are taken for duplicates
@@ -26,7 +26,7 @@
 
 def fingerprint(response: HttpResponse) -> ResponseFingerprint | None:
     """Return what identifies a response; None for errors and empty bodies, which are normally all alike."""
-    if response.status != HTTPStatus.OK or not response.body:
+    if response.status != STATUS_OK or not response.body:
         return None
     return hash(response.body)
 
@@ -34,7 +34,7 @@
 class DuplicateResponseDetector:
     """Recognises duplicates once it has seen that responses differ from one another here.
 
-    One detector serves all connections of a pool. It is told of every pair of successive responses.
+    One detector serves all connections of a pool; `is_duplicate` is called for every response.
     """
 
     def __init__(self) -> None:
--- a/alderspool/protocol/upstream.py
+++ b/alderspool/protocol/upstream.py
@@ -6,8 +6,6 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from http import HTTPStatus
-from typing import NamedTuple
 
 from alderspool.balancer.events import AttemptStatus
 from alderspool.protocol.http_client import HttpClientCodec, HttpResponse
@@ -19,8 +17,8 @@
     b"connection keep-alive proxy-connection proxy-authenticate proxy-authorization te trailer"
     b" transfer-encoding upgrade expect content-length x-deadline-ms".split()
 )
-# With the header set to 1, these statuses say that the request was not executed.
-NOT_RUN_STATUSES = (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.GATEWAY_TIMEOUT)
+STATUS_OK = 200
+NOT_RUN_STATUSES = (503, 504)  # with the header set to 1, they say that the request was not executed
 NOT_RUN_HEADER = b"x-not-run"
 
 
@@ -42,11 +40,12 @@
     content_type: bytes | None = None
 
 
-class AttemptOutcome(NamedTuple):
+@dataclass(slots=True)
+class AttemptOutcome:
     """What a complete response proves of its attempt. `response` is set only where the status is OK."""
 
     status: AttemptStatus
-    response: UpstreamResponse | None
+    response: UpstreamResponse | None = None
 
 
 def upstream_codec() -> HttpClientCodec:
@@ -67,12 +66,12 @@
     Only the endpoint's explicit statement (503 or 504 with `X-Not-Run: 1`) proves that the attempt was not
     executed; after any other failure it may have been.
     """
-    if response.status == HTTPStatus.OK:
+    if response.status == STATUS_OK:
         content_type = response.headers.get(b"content-type")
         return AttemptOutcome(AttemptStatus.OK, UpstreamResponse(response.body, content_type))
     if response.status in NOT_RUN_STATUSES and response.headers.get(NOT_RUN_HEADER) == b"1":
-        return AttemptOutcome(AttemptStatus.REJECTED, None)
-    return AttemptOutcome(AttemptStatus.ERROR, None)
+        return AttemptOutcome(AttemptStatus.REJECTED)
+    return AttemptOutcome(AttemptStatus.ERROR)
 
 
 def compose_health_check(codec: HttpClientCodec, host: str) -> bytes:
@@ -82,6 +81,6 @@
 
 def read_health_check(response: HttpResponse) -> AttemptStatus:
     """Return what the response to a health check says: OK, or REJECTED for any status but 200."""
-    if response.status == HTTPStatus.OK:
+    if response.status == STATUS_OK:
         return AttemptStatus.OK
     return AttemptStatus.REJECTED
--- a/alderspool/transport/idle_connections.py
+++ b/alderspool/transport/idle_connections.py
@@ -7,11 +7,11 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from typing import Generic, NamedTuple, Protocol, TypeVar
+from dataclasses import dataclass
+from typing import Generic, Protocol, TypeVar
 
 from alderspool.balancer.events import EndpointId
 from alderspool.protocol.duplicate_responses import DuplicateResponseDetector, ResponseFingerprint
-from alderspool.transport.upstream_connection import Address
 
 
 class IdleConnection(Protocol):
@@ -22,8 +22,12 @@
         """The endpoint that the connection leads to."""
 
     @property
-    def address(self) -> Address:
-        """Where it was opened to; the endpoint may have moved since."""
+    def host(self) -> str:
+        """The host that it was opened to; the endpoint may have moved since."""
+
+    @property
+    def port(self) -> int:
+        """The port that it was opened to."""
 
     @property
     def idle_since_s(self) -> float:
@@ -40,8 +44,9 @@
 Connection = TypeVar("Connection", bound=IdleConnection)
 
 
-class Choice(NamedTuple, Generic[Connection]):
-    """What to do for one attempt: the connection to reuse, if any, and those found unfit on the way."""
+@dataclass(slots=True)
+class Choice(Generic[Connection]):
+    """What to do for one attempt: the connection to reuse, if any, and those found unfit while choosing."""
 
     reuse: Connection | None
     close: list[Connection]
@@ -82,7 +87,7 @@
         if not of_endpoint:
             del self._by_endpoint[connection.endpoint]
 
-    def choose(self, endpoint: EndpointId, address: Address, now_s: float) -> Choice[Connection]:
+    def choose(self, endpoint: EndpointId, host: str, port: int, now_s: float) -> Choice[Connection]:
         """Choose the most recently used connection that is fit to carry an attempt to this address.
 
         Nothing is removed. Connections that a duplicate response may still reach are left idle.
@@ -90,18 +95,14 @@
         unfit: list[Connection] = []
         for connection in reversed(self._by_endpoint.get(endpoint, ())):
             idle_s = now_s - connection.idle_since_s
-            if not self._is_fit(connection, address, idle_s):
+            # What arrived after the last response would be taken for the response to the next attempt.
+            is_fit = connection.is_quiet() and idle_s < self._idle_timeout_s
+            if not is_fit or connection.port != port or connection.host != host:
                 unfit.append(connection)
             elif self._duplicates.may_reuse(connection.last_fingerprint, idle_s):
                 return Choice(connection, unfit)
         return Choice(None, unfit)
 
-    def _is_fit(self, connection: Connection, address: Address, idle_s: float) -> bool:
-        # What arrived after the last response would be taken for the response to the next attempt.
-        if not connection.is_quiet():
-            return False
-        return idle_s < self._idle_timeout_s and connection.address == address
-
     def of_endpoint(self, endpoint: EndpointId) -> list[Connection]:
         """Return the connections of one endpoint, the longest idle first."""
         return list(self._by_endpoint.get(endpoint, ()))
--- a/alderspool/transport/upstream_connection.py
+++ b/alderspool/transport/upstream_connection.py
@@ -8,8 +8,9 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 from enum import Enum, auto
-from typing import Final, NamedTuple, TypeAlias
+from typing import Final, TypeAlias
 
 from alderspool.balancer.events import EndpointId
 from alderspool.protocol.duplicate_responses import ResponseFingerprint
@@ -19,13 +20,6 @@
 from alderspool.transport.streams import CountingReader, is_quiet
 
 
-class Address(NamedTuple):
-    """Where an endpoint is reached."""
-
-    host: str
-    port: int
-
-
 class ConnectionState(Enum):
     """What a connection can do next."""
 
@@ -35,13 +29,21 @@
     CLOSED = auto()  # carries no further attempt; the socket is closed, or will be as its reading task ends
 
 
-_ALLOWED_TRANSITIONS: Final[dict[ConnectionState, tuple[ConnectionState, ...]]] = {
-    ConnectionState.CONNECTED: (ConnectionState.ACTIVE, ConnectionState.CLOSED),
-    ConnectionState.ACTIVE: (ConnectionState.IDLE, ConnectionState.CLOSED),
-    ConnectionState.IDLE: (ConnectionState.ACTIVE, ConnectionState.CLOSED),
-    # Closing twice is normal: the pool closes an idle connection, then its reading task ends.
-    ConnectionState.CLOSED: (ConnectionState.CLOSED,),
-}
+@dataclass(frozen=True, slots=True)
+class Transition:
+    """A change of state: the states in which it is allowed, and the one that it leads to."""
+
+    sources: tuple[ConnectionState, ...]
+    target: ConnectionState
+
+
+# Kept as constants: CPython 3.11 takes a Python call for each access to a member of an enum, and another for
+# each hash of one, and two transitions are made for each attempt.
+WRITE_ATTEMPT: Final = Transition((ConnectionState.CONNECTED, ConnectionState.IDLE), ConnectionState.ACTIVE)
+BECOME_IDLE: Final = Transition((ConnectionState.ACTIVE,), ConnectionState.IDLE)
+RETIRE: Final = Transition((ConnectionState.ACTIVE,), ConnectionState.CLOSED)
+# Closing twice is normal: the pool closes an idle connection, then its reading task ends.
+CLOSE: Final = Transition(tuple(ConnectionState), ConnectionState.CLOSED)
 
 
 class InvalidTransitionError(RuntimeError):
@@ -55,22 +57,29 @@
     """
 
     __slots__ = (
-        "address",
         "attempt",
         "codec",
         "endpoint",
+        "host",
         "idle_since_s",
         "last_fingerprint",
+        "port",
         "reader",
         "state",
         "writer",
     )
 
     def __init__(
-        self, endpoint: EndpointId, address: Address, reader: CountingReader, writer: asyncio.StreamWriter
+        self,
+        endpoint: EndpointId,
+        host: str,
+        port: int,
+        reader: CountingReader,
+        writer: asyncio.StreamWriter,
     ) -> None:
         self.endpoint = endpoint
-        self.address = address
+        self.host = host
+        self.port = port
         self.reader = reader
         self.writer = writer
         self.codec: HttpClientCodec = upstream_codec()
@@ -88,26 +97,26 @@
 
         From here on the attempt may be executed, whatever becomes of the connection.
         """
-        self._enter(ConnectionState.ACTIVE)
+        self._change_state(WRITE_ATTEMPT)
         self.attempt = attempt
         attempt.transport_handle = self
         attempt.written = True
         self.writer.write(data)
 
     def become_idle(self, now_s: float) -> None:
-        """Let go of the attempt, whose response is complete: ACTIVE to IDLE."""
-        self._enter(ConnectionState.IDLE)
+        """Detach the attempt, whose response is complete: ACTIVE to IDLE. `now_s`: the event loop's clock."""
+        self._change_state(BECOME_IDLE)
         self._detach_attempt()
         self.idle_since_s = now_s
 
     def retire(self) -> None:
-        """Let go of the attempt; the reading task ends next and closes the socket: ACTIVE to CLOSED."""
-        self._enter(ConnectionState.CLOSED)
+        """Detach the attempt; the reading task ends next and closes the socket: ACTIVE to CLOSED."""
+        self._change_state(RETIRE)
         self._detach_attempt()
 
     def close(self) -> None:
-        """Let go of the attempt, if there is one, and close the socket at once: any state to CLOSED."""
-        self._enter(ConnectionState.CLOSED)
+        """Detach the attempt, if there is one, and close the socket at once: any state to CLOSED."""
+        self._change_state(CLOSE)
         self._detach_attempt()
         self.writer.transport.abort()
 
@@ -116,12 +125,12 @@
             self.attempt.transport_handle = None
             self.attempt = None
 
-    def _enter(self, state: ConnectionState) -> None:
-        if state not in _ALLOWED_TRANSITIONS[self.state]:
+    def _change_state(self, transition: Transition) -> None:
+        if self.state not in transition.sources:
             raise InvalidTransitionError(
-                f"connection to {self.address.host}:{self.address.port}: {self.state.name} to {state.name}"
+                f"connection to {self.host}:{self.port}: {self.state.name} to {transition.target.name}"
             )
-        self.state = state
+        self.state = transition.target
 
 
 # What `Attempt.transport_handle` holds: the task that connects, then the connection that carries the attempt.
--- a/alderspool/transport/upstream_pool.py
+++ b/alderspool/transport/upstream_pool.py
@@ -22,7 +22,7 @@
 from alderspool.transport.health_check import check_health
 from alderspool.transport.idle_connections import IdleConnections
 from alderspool.transport.streams import READ_SIZE, connect
-from alderspool.transport.upstream_connection import Address, TransportHandle, UpstreamConnection
+from alderspool.transport.upstream_connection import TransportHandle, UpstreamConnection
 
 # We close a connection that has been idle for this share of the endpoint's own idle timeout. The endpoint may
 # close it at any time up to that timeout, and an attempt written at that moment would be lost without proof
@@ -94,7 +94,7 @@
 
     def _take_idle(self, attempt: Attempt) -> UpstreamConnection | None:
         """Take an idle connection to where the endpoint is now; those found unfit are closed."""
-        choice = self._idle.choose(attempt.endpoint, Address(attempt.host, attempt.port), self._now())
+        choice = self._idle.choose(attempt.endpoint, attempt.host, attempt.port, self._now())
         for unfit in choice.close:
             self._close_idle_connection(unfit)
         if choice.reuse is not None:
@@ -160,7 +160,7 @@
             return None
         # From here on `cancel` must not cancel the task: it has a connection to close.
         attempt.transport_handle = None
-        return UpstreamConnection(attempt.endpoint, Address(attempt.host, attempt.port), reader, writer)
+        return UpstreamConnection(attempt.endpoint, attempt.host, attempt.port, reader, writer)
 
     def _write(self, connection: UpstreamConnection, attempt: Attempt) -> None:
         time_left_ms = self._exchange.time_left_ms(attempt)
@@ -198,13 +198,13 @@
             # The attempt's own response may be on its way, or not: nobody can tell.
             self._retire(connection, attempt, AttemptStatus.RESET)
             return False
-        status, upstream_response = read_outcome(response)
+        outcome = read_outcome(response)
         if not data or not connection.codec.reusable:
-            self._retire(connection, attempt, status, upstream_response)
+            self._retire(connection, attempt, outcome.status, outcome.response)
             return False
         connection.become_idle(self._now())
         self._idle.add(connection)
-        self._exchange.attempt_ended(attempt, status, upstream_response)
+        self._exchange.attempt_ended(attempt, outcome.status, outcome.response)
         return True
 
     def _is_duplicate(self, connection: UpstreamConnection, response: HttpResponse) -> bool:
--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -13,16 +13,15 @@
     DuplicateResponseDetector,
 )
 from alderspool.routing.messages import Attempt
-from alderspool.transport.idle_connections import IdleConnections
+from alderspool.transport.idle_connections import Choice, IdleConnections
 from alderspool.transport.upstream_connection import (
-    Address,
     ConnectionState,
     InvalidTransitionError,
     UpstreamConnection,
 )
 
-HERE = Address("10.0.0.1", 3000)
-ELSEWHERE = Address("10.0.0.2", 3000)
+HOST = "10.0.0.1"
+PORT = 3000
 IDLE_TIMEOUT_S = 6.0
 NOW_S = 100.0
 
@@ -33,7 +32,8 @@
 
     idle_since_s: float = NOW_S - 1.0
     endpoint: bytes = b"s1"
-    address: Address = HERE
+    host: str = HOST
+    port: int = PORT
     last_fingerprint: int | None = 1
     quiet: bool = True
 
@@ -57,13 +57,13 @@
 
 def test_chooses_nothing_for_an_endpoint_without_connections() -> None:
     idle = idle_connections(IdleRecord(endpoint=b"s2"))
-    assert idle.choose(b"s1", HERE, NOW_S) == (None, [])
+    assert idle.choose(b"s1", HOST, PORT, NOW_S) == Choice(None, [])
 
 
 def test_chooses_the_most_recently_used_connection_and_removes_nothing() -> None:
     older, newer = IdleRecord(NOW_S - 2.0), IdleRecord(NOW_S - 1.0)
     idle = idle_connections(older, newer)
-    assert idle.choose(b"s1", HERE, NOW_S) == (newer, [])
+    assert idle.choose(b"s1", HOST, PORT, NOW_S) == Choice(newer, [])
     assert idle.of_endpoint(b"s1") == [older, newer]
 
 
@@ -71,35 +71,42 @@
     "unfit",
     [
         IdleRecord(quiet=False),
-        IdleRecord(address=ELSEWHERE),
+        IdleRecord(host="10.0.0.2"),
+        IdleRecord(port=PORT + 1),
         IdleRecord(NOW_S - IDLE_TIMEOUT_S),
         IdleRecord(NOW_S, quiet=False),  # also where it could not be reused yet
     ],
-    ids=["unread-input-or-closed", "endpoint-moved", "idle-timeout", "unread-input-in-duplicate-window"],
+    ids=[
+        "unread-input-or-closed",
+        "other-host",
+        "other-port",
+        "idle-timeout",
+        "unread-input-in-duplicate-window",
+    ],
 )
 def test_closes_an_unfit_connection_and_reuses_the_next(unfit: IdleRecord) -> None:
     fit = IdleRecord(NOW_S - IDLE_TIMEOUT_S + 0.001)
     idle = idle_connections(fit, unfit)
-    assert idle.choose(b"s1", HERE, NOW_S) == (fit, [unfit])
+    assert idle.choose(b"s1", HOST, PORT, NOW_S) == Choice(fit, [unfit])
 
 
 def test_does_not_judge_connections_older_than_the_chosen_one() -> None:
     unfit, fit = IdleRecord(NOW_S - 2.0, quiet=False), IdleRecord()
-    assert idle_connections(unfit, fit).choose(b"s1", HERE, NOW_S) == (fit, [])
+    assert idle_connections(unfit, fit).choose(b"s1", HOST, PORT, NOW_S) == Choice(fit, [])
 
 
 def test_closes_all_unfit_connections_newest_first() -> None:
     older, newer = IdleRecord(quiet=False), IdleRecord(quiet=False)
-    assert idle_connections(older, newer).choose(b"s1", HERE, NOW_S) == (None, [newer, older])
+    assert idle_connections(older, newer).choose(b"s1", HOST, PORT, NOW_S) == Choice(None, [newer, older])
 
 
 def test_leaves_a_connection_idle_while_a_duplicate_may_still_arrive() -> None:
     older, recent = IdleRecord(), IdleRecord(NOW_S - DUPLICATE_WINDOW_S / 2)
     idle = idle_connections(older, recent)
-    assert idle.choose(b"s1", HERE, NOW_S) == (older, [])
+    assert idle.choose(b"s1", HOST, PORT, NOW_S) == Choice(older, [])
     idle.discard(older)
-    assert idle.choose(b"s1", HERE, NOW_S) == (None, [])
-    assert idle.choose(b"s1", HERE, NOW_S + DUPLICATE_WINDOW_S) == (recent, [])
+    assert idle.choose(b"s1", HOST, PORT, NOW_S) == Choice(None, [])
+    assert idle.choose(b"s1", HOST, PORT, NOW_S + DUPLICATE_WINDOW_S) == Choice(recent, [])
 
 
 @pytest.mark.parametrize(
@@ -110,7 +117,7 @@
 ) -> None:
     recent = IdleRecord(NOW_S, last_fingerprint=last_fingerprint)
     idle = idle_connections(recent, responses_differ=True)
-    assert idle.choose(b"s1", HERE, NOW_S) == (recent if is_reused else None, [])
+    assert idle.choose(b"s1", HOST, PORT, NOW_S) == Choice(recent if is_reused else None, [])
 
 
 # ---- eviction and expiry ------------------------------------------------------------------------------
@@ -172,7 +179,7 @@
 
 
 def connection_in(state: ConnectionState) -> UpstreamConnection:
-    connection = UpstreamConnection(b"s1", HERE, None, RecordingWriter())
+    connection = UpstreamConnection(b"s1", HOST, PORT, None, RecordingWriter())
     connection.state = state
     if state is ConnectionState.ACTIVE:
         connection.attempt = an_attempt()
@@ -181,7 +188,7 @@
 
 
 def an_attempt() -> Attempt:
-    return Attempt(1, 0, b"s1", *HERE, None, 0.0, 1e9)
+    return Attempt(1, 0, b"s1", HOST, PORT, None, 0.0, 1e9)
 
 
 STATES = list(ConnectionState)
@@ -220,7 +227,7 @@
 
 
 @pytest.mark.parametrize("state", STATES, ids=lambda state: state.name)
-def test_closes_in_every_state_and_lets_go_of_its_attempt(state: ConnectionState) -> None:
+def test_closes_in_every_state_and_detaches_its_attempt(state: ConnectionState) -> None:
     connection = connection_in(state)
     attempt = connection.attempt
     connection.close()
