--- a/alderspool/transport/idle_connections.py
+++ b/alderspool/transport/idle_connections.py
@@ -56,34 +56,37 @@
     """The idle connections of a pool, by endpoint and by age.
 
     Connections are added as they become idle, so that both orders are from the longest idle to the most
-    recently used one. Each operation costs the same however many connections and endpoints there are, but
-    for `choose` (the connections that it passes over) and those that return several connections.
+    recently used one. No operation on one connection costs more where there are more endpoints; within one
+    endpoint, removing the most recently used connection is constant, and removing another one is linear.
     """
 
     def __init__(self, idle_timeout_s: float, duplicates: DuplicateResponseDetector) -> None:
         self._idle_timeout_s = idle_timeout_s
         self._duplicates = duplicates
-        self._by_age: OrderedDict[Connection, None] = OrderedDict()
-        self._by_endpoint: dict[EndpointId, OrderedDict[Connection, None]] = {}
+        # Every idle connection, the longest idle first, with the list of its endpoint that it is in.
+        self._by_age: OrderedDict[Connection, list[Connection]] = OrderedDict()
+        self._by_endpoint: dict[EndpointId, list[Connection]] = {}  # none of the lists is empty
 
     def __len__(self) -> int:
         return len(self._by_age)
 
     def add(self, connection: Connection) -> None:
         """Add a connection that has become idle just now."""
-        self._by_age[connection] = None
         of_endpoint = self._by_endpoint.get(connection.endpoint)
         if of_endpoint is None:
-            of_endpoint = self._by_endpoint[connection.endpoint] = OrderedDict()
-        of_endpoint[connection] = None
+            of_endpoint = self._by_endpoint[connection.endpoint] = []
+        of_endpoint.append(connection)
+        self._by_age[connection] = of_endpoint
 
     def discard(self, connection: Connection) -> None:
         """Remove a connection; one that is not idle is ignored."""
-        if connection not in self._by_age:
+        of_endpoint = self._by_age.pop(connection, None)
+        if of_endpoint is None:
             return
-        del self._by_age[connection]
-        of_endpoint = self._by_endpoint[connection.endpoint]
-        del of_endpoint[connection]
+        if of_endpoint[-1] is connection:  # the usual case: reuse takes the most recently used one
+            of_endpoint.pop()
+        else:
+            of_endpoint.remove(connection)
         if not of_endpoint:
             del self._by_endpoint[connection.endpoint]
 
