--- /dev/null
+++ b/alderspool/balancer/hedging.py
@@ -0,0 +1,18 @@
+"""Hedging: a second attempt while the first is open, as that sits on a paused or slowed endpoint."""
+
+from __future__ import annotations
+
+from alderspool.balancer.request_state import RequestState
+
+DELAY_FACTOR = 3.0  # typical latencies after which a hedge goes out; sooner it hits what just takes longer
+MIN_TIME_LEFT_FACTOR = 0.3  # typical latencies that must be left of the latency objective
+
+
+def hedge_delay_ms(typical_ms: float) -> float:
+    """Return the time after an attempt at which a hedge is due."""
+    return DELAY_FACTOR * typical_ms
+
+
+def can_meet_objective(request: RequestState, now: float, typical_ms: float) -> bool:
+    """Whether a hedge that goes out now may still be in time."""
+    return now + MIN_TIME_LEFT_FACTOR * typical_ms <= request.objective_at
--- /dev/null
+++ b/alderspool/balancer/load_report_codec.py
@@ -0,0 +1,28 @@
+"""Bytes of the load reports between peers: for each endpoint its id, and the open attempts in one byte."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from alderspool.balancer.endpoint import EndpointState
+from alderspool.balancer.events import EndpointId
+
+ID_BYTES = 6
+ENTRY_BYTES = ID_BYTES + 1
+MAX_COUNT = 255
+
+
+def encode_entry(endpoint: EndpointState) -> bytes:
+    """Return the entry of one endpoint."""
+    return endpoint.id + bytes((min(endpoint.in_flight, MAX_COUNT),))
+
+
+def is_well_formed(data: bytes) -> bool:
+    """Whether these are one or more complete entries."""
+    return bool(data) and not len(data) % ENTRY_BYTES
+
+
+def decode_entries(data: bytes) -> Iterator[tuple[EndpointId, int]]:
+    """Yield the id and the count of open attempts of each entry."""
+    for start in range(0, len(data), ENTRY_BYTES):
+        yield data[start : start + ID_BYTES], data[start + ID_BYTES]
--- /dev/null
+++ b/alderspool/balancer/moving_averages.py
@@ -0,0 +1,58 @@
+"""Moving statistics of the traffic. They choose nothing: memories and priors are given by the policy."""
+
+from __future__ import annotations
+
+
+class ClassMix:
+    """Moving counts of the requests of each class, and their shares at the last refresh."""
+
+    def __init__(self, initial_counts: list[float]) -> None:
+        self.counts = initial_counts
+        self.shares: list[float] = []
+
+    def refresh(self, fade: float) -> None:
+        """Take the shares, then fade the counts."""
+        total = sum(self.counts)
+        self.shares = [count / total for count in self.counts]
+        self.counts[:] = [count * fade for count in self.counts]
+
+
+class MeansByClass:
+    """A moving mean for each class, which leans on its former value by `prior_count` samples."""
+
+    def __init__(self, initial_means: list[float], prior_count: float, min_count: float) -> None:
+        self.means = initial_means
+        self._prior_count = prior_count
+        self._min_count = min_count  # with fewer the mean stays as it is
+        self._sums = [0.0] * len(initial_means)
+        self._counts = [0.0] * len(initial_means)
+
+    def record(self, index: int, value: float) -> None:
+        """Take in a sample."""
+        self._sums[index] += value
+        self._counts[index] += 1.0
+
+    def refresh(self, fade: float) -> None:
+        """Fade the samples and rebuild the means."""
+        self._sums[:] = [total * fade for total in self._sums]
+        self._counts[:] = [count * fade for count in self._counts]
+        for index, count in enumerate(self._counts):
+            if count > self._min_count:
+                prior_sum = self._prior_count * self.means[index]
+                self.means[index] = (self._sums[index] + prior_sum) / (count + self._prior_count)
+
+
+class ArrivalRate:
+    """A moving rate per ms, averaged over the time known where that is shorter than the memory."""
+
+    def __init__(self, memory_ms: float) -> None:
+        self.rate = 0.0
+        self.since_refresh = 0.0
+        self.gain = 1.0  # of the moving average at the last refresh
+        self._memory_ms = memory_ms
+
+    def refresh(self, known_ms: float, elapsed_ms: float) -> None:
+        """Take in what has arrived in the time that has passed."""
+        self.gain = min(1.0, elapsed_ms / max(min(known_ms, self._memory_ms), 1.0))
+        self.rate += (self.since_refresh / elapsed_ms - self.rate) * self.gain
+        self.since_refresh = 0.0
--- /dev/null
+++ b/alderspool/balancer/outlier_detection.py
@@ -0,0 +1,124 @@
+"""Outlier detection: back-off, ejection, panic threshold, and circuit breakers by class and tenant.
+
+Crashed, hanging, failing and full endpoints alike get one trial at a time, each failure in a row doubling the
+wait, until one is served. A first failure costs next to nothing.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from alderspool.balancer.endpoint import ANY, Circuit, EndpointState
+from alderspool.balancer.events import AttemptStatus
+from alderspool.balancer.latency import LatencyEstimates
+from alderspool.balancer.request_state import RequestState
+from alderspool.balancer.settings import Settings
+
+FAIR_TIMEOUT_FACTOR = 2.5  # a time-out counts against its endpoint from this many typical latencies on
+EJECTED_AFTER_FAILURES = 3  # in a row
+PANIC_THRESHOLD = 0.5  # with more of the endpoints than this ejected, the judgement is doubted, not the fleet
+PANIC_MAX_DOUBLINGS = 2  # in panic the back-off stays short, unless an endpoint says that it is full
+MAX_DOUBLINGS = 10
+BACKOFF_TURNS = 2.0  # the first back-off lasts this many turns of an endpoint, where others try it as well
+MAX_BACKOFF_MS = 4000.0  # however many failures, so that recovery is noticed
+MIN_ARRIVAL_RATE = 1e-6  # per ms
+CIRCUIT_OPEN_MS = 3000.0  # after the first failure; doubles with each further one
+MAX_CIRCUIT_OPEN_MS = 12_000.0
+WRITTEN_OFF_AFTER_RESPONSES = 4  # to attempts sent later: an attempt is lost and takes no capacity any longer
+
+
+class EndedAttempt(NamedTuple):
+    """What is known of an attempt that has ended."""
+
+    status: int
+    sent_at: float
+    latency_ms: float
+    later_responses: int  # to attempts that were sent to the endpoint later
+
+
+def is_outlier(endpoint: EndpointState) -> bool:
+    """Whether the endpoint is ejected: it gets one trial at a time, after each back-off."""
+    return endpoint.consecutive_failures >= EJECTED_AFTER_FAILURES
+
+
+@dataclass(slots=True)
+class OutlierDetector:
+    """Judges endpoints by how their attempts end."""
+
+    settings: Settings
+    latency: LatencyEstimates
+    subset_size: int = 0
+    sharing_instances: float = 1.0  # that use the same endpoints
+    outlier_count: int = 0  # of the endpoints in use, at the last refresh
+    is_panic: bool = False
+
+    def is_fault_of_endpoint(self, status: int, latency_ms: float, traffic_class: int) -> bool:
+        """Whether a failure speaks of the endpoint: an attempt sent too late to be served speaks of us."""
+        if status == AttemptStatus.TIMEOUT:
+            return latency_ms >= FAIR_TIMEOUT_FACTOR * self.latency.typical_ms[traffic_class]
+        return status not in (AttemptStatus.CANCELLED, AttemptStatus.NEVER_SENT)
+
+    def record_success(self, endpoint: EndpointState, request: RequestState) -> None:
+        """End the back-off; halve the failures of circuits: a rate-limited kind is served now and then."""
+        if endpoint.circuits:
+            for key in request.circuit_keys:
+                circuit = endpoint.circuits.pop(key, None)
+                if circuit is not None and circuit.failures > 1:
+                    endpoint.circuits[key] = circuit._replace(failures=circuit.failures // 2)
+        endpoint.consecutive_failures = 0
+
+    def record_failure(
+        self, endpoint: EndpointState, request: RequestState, ended: EndedAttempt, now: float
+    ) -> bool:
+        """Back off from the endpoint; return whether this failure ejects it."""
+        # Without any response meanwhile it is silent to all: no kind is to blame, the back-off is enough.
+        is_by_kind = ended.status in (AttemptStatus.ERROR, AttemptStatus.REJECTED) or (
+            ended.status == AttemptStatus.TIMEOUT and ended.later_responses > 0
+        )
+        if is_by_kind and len(self.settings.classes) + len(self.settings.tenants) > 1:
+            self._record_circuit_failures(endpoint, request, now)
+        if ended.sent_at < endpoint.last_failure_at:
+            return False  # attempts lost together, in one pause, are one failure
+        endpoint.consecutive_failures += 1
+        endpoint.last_failure_at = now
+        doublings = min(endpoint.consecutive_failures - 1, self._max_doublings(ended.status))
+        backoff_ms = self._first_backoff_ms(request.traffic_class) * 2**doublings
+        endpoint.blocked_until = now + min(backoff_ms, MAX_BACKOFF_MS)
+        if ended.status == AttemptStatus.CONNECT_FAILED and is_outlier(endpoint):
+            endpoint.is_process_lost = True
+        return endpoint.consecutive_failures == EJECTED_AFTER_FAILURES
+
+    def refresh(self) -> None:
+        """Decide whether so many endpoints look bad that the judgement is doubted."""
+        self.is_panic = self.outlier_count > PANIC_THRESHOLD * self.subset_size
+
+    def _max_doublings(self, status: int) -> int:
+        if self.is_panic and status != AttemptStatus.REJECTED:
+            return PANIC_MAX_DOUBLINGS
+        return MAX_DOUBLINGS
+
+    def _first_backoff_ms(self, traffic_class: int) -> float:
+        """Return the back-off after one failure.
+
+        One that ends before the next turn of the endpoint spares it nothing; yet all instances that share it
+        need not try it more rarely together than one would alone.
+        """
+        typical_ms = self.latency.typical_ms[traffic_class]
+        turn_ms = self.subset_size / max(self.latency.arrivals.rate, MIN_ARRIVAL_RATE)
+        return max(typical_ms, min(BACKOFF_TURNS * turn_ms, self.sharing_instances * typical_ms))
+
+    def _record_circuit_failures(self, endpoint: EndpointState, request: RequestState, now: float) -> None:
+        """Open circuits as narrowly as the evidence is.
+
+        That is for this class of this tenant; for all of either once a second kind failed with none served.
+        """
+        keys = request.circuit_keys
+        for key, counterpart in zip(
+            keys, (ANY, keys.tenant.tenant, keys.traffic_class.traffic_class), strict=True
+        ):
+            failures, open_until, first_counterpart = endpoint.circuits.get(key, Circuit(0, 0.0, counterpart))
+            if counterpart == ANY or first_counterpart != counterpart or open_until:
+                open_until = now + min(CIRCUIT_OPEN_MS * 2**failures, MAX_CIRCUIT_OPEN_MS)
+                failures += 1
+            endpoint.circuits[key] = Circuit(failures, open_until, first_counterpart)
--- /dev/null
+++ b/alderspool/balancer/refresh.py
@@ -0,0 +1,91 @@
+"""The refresh: what all policies learned is rebuilt now and then, in a fixed order; requests only read it."""
+
+from __future__ import annotations
+
+from math import exp, inf
+
+from alderspool.balancer.latency import MIX_MEMORY_MS
+from alderspool.balancer.outlier_detection import is_outlier
+from alderspool.balancer.policies import Policies
+from alderspool.balancer.settings import Settings
+
+REFRESH_INTERVAL_MS = 100.0  # far under human time, rare enough to be cheap
+MIN_REQUESTS = 4.0  # but not before so many came (in requests of mean typical latency)
+MAX_REFRESH_INTERVAL_MS = 500.0  # or so long passed
+MIN_ELAPSED_MS = 1e-3
+MAX_ELAPSED_MS = 1000.0  # a longer pause counts as this long
+
+
+class Refresh:
+    """Decides when a refresh is due, and does it."""
+
+    def __init__(self, settings: Settings, policies: Policies) -> None:
+        self.last_at = -inf
+        self._settings = settings
+        self._policies = policies
+
+    def is_due(self, now: float) -> bool:
+        """Whether enough time and traffic have passed since the last one."""
+        age_ms = now - self.last_at
+        if age_ms < REFRESH_INTERVAL_MS:
+            return False
+        has_requests = self._policies.latency.arrivals.since_refresh >= MIN_REQUESTS
+        return has_requests or age_ms >= MAX_REFRESH_INTERVAL_MS
+
+    def reselect(self, now: float) -> None:
+        """Select the subset anew, with all that depends on how many instances share it."""
+        policies = self._policies
+        subset = policies.subset
+        is_first = not subset.ready_count
+        subset.reselect(now)
+        policies.outliers.subset_size = len(subset.selected)
+        policies.outliers.sharing_instances = subset.sharing_instances
+        policies.load_reports.set_sharing_instances(subset.sharing_instances)
+        if is_first and not policies.load_reports.is_sending:
+            policies.limit.set_initial(subset.sharing_instances)
+
+    def run(self, now: float) -> bool:
+        """Rebuild everything; return whether a quiesce begins."""
+        policies = self._policies
+        subset = policies.subset
+        outlier_count = sum(1 for endpoint in subset.selected if is_outlier(endpoint))
+        if outlier_count != policies.outliers.outlier_count or subset.is_outgrown(now):
+            self.reselect(now)
+        policies.outliers.outlier_count = outlier_count
+        elapsed_ms = min(max(now - self.last_at, MIN_ELAPSED_MS), MAX_ELAPSED_MS)
+        self.last_at = now
+        policies.connections.refresh(elapsed_ms)
+        policies.queue.fade_tenant_rates(exp(-elapsed_ms / MIX_MEMORY_MS))
+        policies.latency.refresh(now, elapsed_ms)
+        if not subset.selected:
+            return False
+        policies.outliers.refresh()
+        self._rebuild_weights(now, elapsed_ms)
+        begins_quiesce = self._rebuild_limits(now, elapsed_ms)
+        policies.queue.refresh(now)
+        if self._settings.peer_messages_allowed:
+            policies.load_reports.forget_silent_peers(now)
+        return begins_quiesce
+
+    def _rebuild_weights(self, now: float, elapsed_ms: float) -> None:
+        policies = self._policies
+        endpoints = policies.subset.selected
+        policies.endpoint_list.mean_size = sum(endpoint.size for endpoint in endpoints) / len(endpoints)
+        for endpoint in endpoints:
+            endpoint.warm_up_factor = policies.slow_start.warm_up_factor(endpoint, now)
+        policies.rotation.learn_speeds(now, elapsed_ms)
+        policies.slow_start.refresh(endpoints, now, elapsed_ms)
+        policies.rotation.rebuild_weights()
+        policies.isolation.refresh(endpoints)
+        policies.rotation.admit_new_endpoints()
+
+    def _rebuild_limits(self, now: float, elapsed_ms: float) -> bool:
+        policies = self._policies
+        endpoints = policies.subset.selected
+        mean_size = policies.endpoint_list.mean_size
+        policies.limit.set_endpoint_limits(endpoints, mean_size)
+        is_queueing = bool(policies.queue.entries)
+        sharing_instances = policies.subset.sharing_instances
+        begins_quiesce = policies.limit.learn(now, elapsed_ms, is_queueing, sharing_instances)
+        policies.limit.apply(endpoints, now, mean_size)
+        return begins_quiesce
--- /dev/null
+++ b/alderspool/balancer/request_dispatch.py
@@ -0,0 +1,308 @@
+"""Request dispatch: the way of each request from its arrival through its attempts to its final response."""
+
+from __future__ import annotations
+
+from heapq import heappop, heappush
+from math import inf
+
+from alderspool.balancer import hedging
+from alderspool.balancer.actions import Action, Cancel, CloseIdle, Fail, Log, Reject, Send, SetTimer
+from alderspool.balancer.admission_queue import CANDIDATES_PER_DISPATCH, CHECK_INTERVAL_MS
+from alderspool.balancer.endpoint import Attempt, EndpointState
+from alderspool.balancer.events import AttemptStatus, Outcome, Request
+from alderspool.balancer.outlier_detection import WRITTEN_OFF_AFTER_RESPONSES, EndedAttempt
+from alderspool.balancer.policies import Policies
+from alderspool.balancer.request_state import QueueEntry, QueueRank, RequestState
+from alderspool.balancer.settings import Settings
+from alderspool.balancer.timers import TimerKind, timer_token
+
+MAX_LOG_LINES = 60  # per life of an instance
+# An attempt that ended so may still be running at its endpoint.
+MAY_RUN_ON = (AttemptStatus.TIMEOUT, AttemptStatus.RESET, AttemptStatus.CANCELLED)
+
+
+class RequestDispatcher:
+    """Owns the pending requests. The caller sets `now` and takes the `actions` for each event."""
+
+    def __init__(self, settings: Settings, policies: Policies) -> None:
+        self.now = 0.0
+        self.actions: list[Action] = []
+        self.pending: dict[int, RequestState] = {}
+        self.policies = policies
+        self._settings = settings
+        self._queue = policies.queue
+        self._log_lines_left = MAX_LOG_LINES
+
+    def accept(self, event: Request) -> None:
+        """Dispatch, queue or reject a request that has come in."""
+        policies = self.policies
+        if event.cls >= len(self._settings.classes):
+            event.cls = 0
+        traffic_class = policies.latency.record_request(event)
+        policies.retry_budget.deposit(self.now)
+        request = self._queue.new_request(event, traffic_class, self.now)
+        self.pending[event.id] = request
+        if self._give_up_expired(request):
+            return
+        if not (event.key and self._settings.classes[event.cls].ordered_by_key):
+            self._place(request)
+        elif self._queue.join_key_queue(request, event.key, self.now):
+            self.check_key_turn(request)
+        else:
+            self._give_up(request)
+        self.dispatch_queued()
+
+    def finish_attempt(self, event: Outcome) -> None:
+        """Learn from an outcome, and finish, retry or give up its request."""
+        request = self._end_attempt(event)
+        if request is not None:
+            self._settle(request, event)
+        self.dispatch_queued()
+
+    def hedge(self, request_id: int) -> None:
+        """Send a hedge, if the request still has its one attempt open and may have another."""
+        request = self.pending.get(request_id)
+        if request is None or request.open_attempts != 1:
+            return
+        typical_ms = self.policies.latency.typical_ms[request.traffic_class]
+        can_help = hedging.can_meet_objective(request, self.now, typical_ms)
+        if can_help and self.policies.retry_rules.may_attempt(request, self.now):
+            endpoint = self._pick(request)
+            if endpoint is not None:
+                self._send(request, endpoint)
+
+    def disconnect_client(self, request_id: int) -> None:
+        """End a request to which no response is wanted any longer."""
+        if request_id in self.pending:
+            self._finish(self.pending[request_id])
+
+    def start_response(self, request_id: int) -> None:
+        """Lift the deadline of a request whose response is being streamed."""
+        if request_id in self.pending:
+            self.pending[request_id].deadline = inf
+
+    def check_key_turn(self, request: RequestState) -> None:
+        """Dispatch the first request of a key once the key has quiesced; else set a timer to check again."""
+        if request.key_queue is None or request.is_finished or not request.awaits_key_turn:
+            return
+        if self._give_up_expired(request):
+            return
+        delay_ms = self._queue.key_turn_delay_ms(request, request.key_queue, self.now)
+        if delay_ms is None:
+            request.awaits_key_turn = False
+            self._place(request)
+        else:
+            self.actions.append(SetTimer(timer_token(TimerKind.KEY_TURN, request.id), delay_ms))
+
+    def check_queue(self) -> None:
+        """Look at all queued requests, as none may outstay its deadline."""
+        self._queue.is_timer_set = False
+        self.dispatch_queued(is_sweep=True)
+        self._set_queue_timer()
+
+    def dispatch_queued(self, is_sweep: bool = False) -> None:
+        """Send queued requests while there is capacity; a sweep looks at all of them."""
+        entries = self._queue.entries
+        without_endpoint: list[QueueEntry] = []
+        while entries and (is_sweep or len(without_endpoint) < CANDIDATES_PER_DISPATCH):
+            entry = heappop(entries)
+            request = entry.request
+            if request.is_finished or self._give_up_expired(request):
+                continue
+            if request.rank != entry.rank:
+                self._enqueue(request)
+                continue
+            endpoint = self._pick(request) if len(without_endpoint) < CANDIDATES_PER_DISPATCH else None
+            if endpoint is None:
+                without_endpoint.append(entry)
+            else:
+                self._send(request, endpoint)
+        for entry in without_endpoint:
+            heappush(entries, entry)
+
+    def log(self, text: str) -> None:
+        """Write a log line, if there are some left."""
+        if self._log_lines_left > 0:
+            self._log_lines_left -= 1
+            self.actions.append(Log(text))
+
+    def _place(self, request: RequestState) -> None:
+        endpoint = None if self._queue.entries else self._pick(request)  # those queued before come first
+        if endpoint is None:
+            self._enqueue(request)
+        else:
+            self._send(request, endpoint)
+
+    def _enqueue(self, request: RequestState) -> None:
+        self._queue.push(request)
+        self._set_queue_timer()
+
+    def _set_queue_timer(self) -> None:
+        if self._queue.entries and not self._queue.is_timer_set:
+            self._queue.is_timer_set = True
+            self.actions.append(SetTimer(timer_token(TimerKind.QUEUE), CHECK_INTERVAL_MS))
+
+    def _pick(self, request: RequestState) -> EndpointState | None:
+        policies = self.policies
+        if request.attempts and not policies.retry_budget.can_withdraw(self.now):
+            return None
+        in_flight = policies.limit.total_in_flight
+        if in_flight >= policies.limit.total and not policies.load_reports.is_sending:
+            return None
+        return policies.rotation.pick(request, self.now, in_flight)
+
+    def _send(self, request: RequestState, endpoint: EndpointState) -> None:
+        policies = self.policies
+        now = self.now
+        traffic_class = request.traffic_class
+        if not (request.may_have_run or request.open_attempts):  # from now on it may be running here
+            request.first_run_at = now
+            request.first_run_zone = endpoint.zone
+            request.first_run_cell = endpoint.cell
+        if request.attempts:
+            policies.retry_budget.withdraw(now)
+        idle_ms = now - endpoint.silent_since if endpoint.connections > endpoint.in_flight else 0.0
+        if policies.connections.is_stale(idle_ms):
+            self.actions.append(CloseIdle(endpoint.id))
+            idle_ms = 0.0
+        number = endpoint.begin_attempt(now, traffic_class, policies.rotation.stall_timeout_ms(request))
+        request.begin_attempt(Attempt(endpoint, now, idle_ms, number))
+        policies.limit.total_in_flight += 1
+        typical_ms = policies.latency.typical_ms[traffic_class]
+        if endpoint.cold_rate < inf:
+            endpoint.cold_tokens -= typical_ms / policies.latency.mean_typical_ms
+        self.actions.append(Send(request.id, endpoint.id))
+        if policies.load_reports.is_sending:
+            self.actions.extend(policies.load_reports.on_change(endpoint))
+        if self._settings.hedging_allowed and policies.retry_rules.may_attempt(request, now):
+            token = timer_token(TimerKind.HEDGE, request.id)
+            self.actions.append(SetTimer(token, hedging.hedge_delay_ms(typical_ms)))
+
+    def _end_attempt(self, event: Outcome) -> RequestState | None:
+        """Take an outcome into all figures; return its request, None if the attempt is not open."""
+        request = self.pending.get(event.id)
+        attempt = None if request is None else request.end_attempt(event.attempt)
+        if request is None or attempt is None:
+            return None
+        policies = self.policies
+        status = event.status
+        endpoint = attempt.endpoint
+        is_served = status == AttemptStatus.OK
+        later_responses = endpoint.end_attempt(
+            self.now, request.traffic_class, attempt, is_served, WRITTEN_OFF_AFTER_RESPONSES
+        )
+        policies.limit.total_in_flight -= 1
+        if request.key_queue is not None and status in MAY_RUN_ON:
+            request.key_queue.quiesce_until = self.now + self._settings.key_quiesce_ms
+        policies.connections.record_end(status, attempt.connection_idle_ms)
+        if status in (AttemptStatus.CONNECT_FAILED, AttemptStatus.RESET):
+            endpoint.connections = endpoint.in_flight
+        ended = EndedAttempt(status, attempt.sent_at, self.now - attempt.sent_at, later_responses)
+        # An endpoint that warms up is slow at any load: it says nothing of the limit.
+        if (is_served or status == AttemptStatus.TIMEOUT) and endpoint.cold_rate == inf:
+            work = policies.latency.typical_ms[request.traffic_class] / policies.latency.mean_typical_ms
+            objective_ms = self._settings.classes[request.class_index].latency_objective_ms
+            policies.limit.record_end(work, ended.latency_ms, objective_ms)
+        if is_served:
+            self._record_success(request, endpoint, ended.latency_ms)
+        else:
+            self._record_failure(request, endpoint, ended)
+        if policies.load_reports.is_sending:
+            self.actions.extend(policies.load_reports.on_change(endpoint))
+        return request
+
+    def _record_success(self, request: RequestState, endpoint: EndpointState, latency_ms: float) -> None:
+        policies = self.policies
+        traffic_class = request.traffic_class
+        policies.outliers.record_success(endpoint, request)
+        endpoint.served_by_class[traffic_class] += 1.0
+        endpoint.busy_ms_by_class[traffic_class] += latency_ms
+        policies.limit.record_success(endpoint, latency_ms / policies.latency.typical_ms[traffic_class])
+        policies.latency.record_response(traffic_class, latency_ms)
+        if endpoint.is_process_lost:  # back from a crash before the list says so: it has just started
+            endpoint.is_process_lost = False
+            endpoint.started_at = self.now
+            endpoint.cold_tokens = 0.0
+
+    def _record_failure(self, request: RequestState, endpoint: EndpointState, ended: EndedAttempt) -> None:
+        policies = self.policies
+        if not policies.outliers.is_fault_of_endpoint(ended.status, ended.latency_ms, request.traffic_class):
+            endpoint.busy_ms_by_class[request.traffic_class] += ended.latency_ms
+            return
+        policies.rotation.record_failure(endpoint, request.traffic_class, ended.status, ended.latency_ms)
+        if policies.outliers.record_failure(endpoint, request, ended, self.now):
+            failures = endpoint.consecutive_failures
+            self.log(f"eject {endpoint.id.hex()}: {failures} failures in a row, last status {ended.status}")
+
+    def _settle(self, request: RequestState, event: Outcome) -> None:
+        """Finish a request after one of its attempts has ended, or make a further attempt, or give it up."""
+        policies = self.policies
+        if policies.retry_rules.may_have_run(event.status):
+            request.may_have_run = True
+        if event.finished and not request.is_finished:
+            self._finish(request)
+        if request.is_finished and not request.open_attempts:
+            self._forget(request)
+        if request.is_finished or request.open_attempts:
+            return
+        may_retry = policies.retry_rules.may_attempt(request, self.now)
+        if (
+            may_retry
+            and policies.retry_budget.can_withdraw(self.now)
+            and not self._is_retry_too_late(request)
+        ):
+            self._place(request)
+        else:
+            self._give_up(request)
+
+    def _is_retry_too_late(self, request: RequestState) -> bool:
+        """Whether a retry would be of no use even if it took no more than the no-load latency."""
+        is_late_useless = self._settings.classes[request.class_index].late_priority_weight <= 0.0
+        no_load_ms = self.policies.latency.no_load_ms[request.traffic_class]
+        return self.now >= request.respond_by or (
+            is_late_useless and self.now + no_load_ms > request.objective_at
+        )
+
+    def _finish(self, request: RequestState) -> None:
+        """End a request; its open attempts are cancelled where hedges are made at all."""
+        request.is_finished = True
+        if self._settings.cancel_allowed and self._settings.hedging_allowed:
+            for number, attempt in enumerate(request.attempts):
+                if attempt is not None:
+                    self.actions.append(Cancel(request.id, number))
+        if not request.open_attempts:
+            self._forget(request)
+
+    def _give_up_expired(self, request: RequestState) -> bool:
+        """Give up a request that was queued too long to be of use; return whether it is over.
+
+        One that is only late goes behind the others.
+        """
+        now = self.now
+        if now <= request.queue_until and now < request.respond_by:
+            return False
+        is_late_useless = self._settings.classes[request.class_index].late_priority_weight <= 0.0
+        if now >= request.respond_by or is_late_useless:
+            self._give_up(request)
+        else:
+            request.rank = QueueRank.LATE
+        return request.is_finished
+
+    def _give_up(self, request: RequestState) -> None:
+        """Send the final response: a rejection where that is true."""
+        self._queue.last_given_up_at = self.now
+        if self.policies.retry_rules.may_reject(request):
+            objective_ms = self._settings.classes[request.class_index].latency_objective_ms
+            retry_after_ms = min(objective_ms, self._settings.max_retry_after_ms)
+            self.actions.append(Reject(request.id, retry_after_ms if self._settings.retry_after else 0.0))
+        else:
+            self.actions.append(Fail(request.id))
+        self._finish(request)
+
+    def _forget(self, request: RequestState) -> None:
+        """Drop a request that is over and has no open attempt: only now may the next of its key go."""
+        if self.pending.pop(request.id, None) is not None and request.key_queue is not None:
+            waiting = request.key_queue.requests
+            waiting.remove(request)
+            if waiting:
+                self.check_key_turn(waiting[0])
--- /dev/null
+++ b/alderspool/balancer/retry_rules.py
@@ -0,0 +1,72 @@
+"""Retry rules: where idempotency lets a further attempt go, and for how long. They are safety rules."""
+
+from __future__ import annotations
+
+from alderspool.balancer.endpoint import EndpointState
+from alderspool.balancer.events import NEVER_RAN, AttemptStatus
+from alderspool.balancer.request_state import RequestState
+from alderspool.balancer.settings import DeduplicationScope, Idempotency, Settings
+
+TRANSIT_CLOCK_STEPS = 4  # by which a retry goes out before the end of the deduplication window
+
+
+class RetryRules:
+    """What may be repeated, by the settings of the class."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        self._classes = settings.classes
+        proofs = NEVER_RAN - ({AttemptStatus.REJECTED} if settings.rejected_may_have_run else set())
+        self._proofs_of_not_run = tuple(sorted(proofs))
+
+    def may_have_run(self, status: int) -> bool:
+        """Whether an attempt that ended so may have run."""
+        return status not in self._proofs_of_not_run
+
+    def may_attempt(self, request: RequestState, now: float) -> bool:
+        """Whether the request may have an attempt now, or one more."""
+        if (
+            request.is_finished
+            or len(request.attempts) >= self._settings.max_attempts
+            or now >= request.deadline
+        ):
+            return False
+        if request.open_attempts and not self._settings.hedging_allowed:
+            return False
+        idempotency = self._classes[request.class_index].idempotency
+        if idempotency == Idempotency.IDEMPOTENT or not (request.may_have_run or request.open_attempts):
+            return True
+        return idempotency == Idempotency.KEYED and now <= self.deduplicated_until(request)
+
+    def is_in_scope(self, request: RequestState, endpoint: EndpointState, now: float) -> bool:
+        """Whether a request that may have run may go to this endpoint too."""
+        request_class = self._classes[request.class_index]
+        if request_class.idempotency != Idempotency.KEYED or now > self.deduplicated_until(request):
+            return request_class.idempotency == Idempotency.IDEMPOTENT
+        if request_class.deduplication_scope == DeduplicationScope.ALL:
+            return True
+        if request_class.deduplication_scope == DeduplicationScope.ZONE:
+            return endpoint.zone == request.first_run_zone
+        return endpoint.cell == request.first_run_cell
+
+    def may_begin(self, request: RequestState, now: float) -> bool:
+        """Whether the last attempt may still go out, perhaps long after it was decided.
+
+        It waited for its connection, and a duplicate that comes after the deduplication window would run.
+        """
+        is_keyed = self._classes[request.class_index].idempotency == Idempotency.KEYED
+        return len(request.attempts) < 2 or not is_keyed or now <= self.deduplicated_until(request)
+
+    def may_reject(self, request: RequestState) -> bool:
+        """Whether a rejection is true as final response: trying again must be harmless."""
+        request_class = self._classes[request.class_index]
+        if request_class.idempotency == Idempotency.KEYED:
+            is_harmless = request_class.deduplication_scope == DeduplicationScope.ALL
+        else:
+            is_harmless = request_class.idempotency == Idempotency.IDEMPOTENT
+        return is_harmless or not (request.may_have_run or request.open_attempts)
+
+    def deduplicated_until(self, request: RequestState) -> float:
+        """Return until when a duplicate that is sent is surely dropped, transit included."""
+        window_ms = self._classes[request.class_index].deduplication_window_ms
+        return request.first_run_at + window_ms - TRANSIT_CLOCK_STEPS * self._settings.clock_step_ms
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,9 +6,11 @@
 
 from alderspool.balancer.actions import Action, Fail, Reject, Send
 from alderspool.balancer.balancer import Balancer
+from alderspool.balancer.endpoint import EndpointState
 from alderspool.balancer.events import (
     AttemptStatus,
     EndpointEntry,
+    EndpointId,
     EndpointListUpdate,
     Event,
     Outcome,
@@ -35,10 +37,25 @@
         settings.setdefault("clock_step_ms", 1.0)
         self.cfg = Settings(classes=classes or [IDEMPOTENT], **settings)
         self.lb = Balancer(self.cfg, seed)
+        self.policies = self.lb.policies
         self.now = 1_000_000.0
         self.next_id = 0
         self.log: list[Action] = self.lb.start(self.now)
 
+    @property
+    def endpoints(self) -> dict[EndpointId, EndpointState]:
+        """All endpoints that the balancer knows, by id."""
+        return self.policies.endpoint_list.endpoints_by_id
+
+    @property
+    def selected(self) -> list[EndpointState]:
+        """The subset that the balancer uses."""
+        return self.policies.subset.selected
+
+    def refresh(self) -> None:
+        """Rebuild all that was learned, at the time of the last event."""
+        self.lb.refresh.run(self.lb.requests.now)
+
     def tell(self, event: Event) -> list[Action]:
         actions = self.lb.handle(self.now, event)
         self.log += actions
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -19,7 +19,6 @@
     SetTimer,
     Watch,
 )
-from alderspool.balancer.balancer import T_PEERS, T_TICK, T_TURN
 from alderspool.balancer.events import (
     AttemptStatus,
     Availability,
@@ -30,8 +29,11 @@
     UpdateMode,
 )
 from alderspool.balancer.settings import DeduplicationScope, Idempotency, RequestClass, Tenant
+from alderspool.balancer.timers import TimerKind, timer_token
 
 S = AttemptStatus
+QUEUE_TIMER = timer_token(TimerKind.QUEUE)
+LOAD_REPORT_TIMER = timer_token(TimerKind.LOAD_REPORT)
 
 
 # ---- rotation ----------------------------------------------------------------------------------
@@ -50,12 +52,12 @@
     d = Driver([IDEMPOTENT, IDEMPOTENT])
     d.servers(3)
     d.serve(3)
-    d.lb.refreshed = d.now + 1e9  # weights as given, not as learned
+    d.lb.refresh.last_at = d.now + 1e9  # weights as given, not as learned
     share, cpu, disk = (1 / 3, 2 / 3), (38, 11, 51), (13, 40, 47)
     weights = [share[0] * c + share[1] * p for c, p in zip(cpu, disk, strict=True)]
     assert [round(w) for w in weights] == [21, 30, 48]
     for i, weight in enumerate(weights):
-        d.lb.servers[sid(i)].weight = weight
+        d.endpoints[sid(i)].weight = weight
     used = d.serve(300)
     counts = Counter(used)
     assert [round(counts[sid(i)] / 3) for i in range(3)] == [21, 30, 48]
@@ -129,7 +131,7 @@
     end = d.now + IDEMPOTENT.deadline_ms
     while not finals(d.log) and d.now < end:
         d.now += 8.0
-        d.timer(0)
+        d.timer(QUEUE_TIMER)
     assert finals(d.log) == [Reject(1, 0.0)]
     assert d.now < end - 2.0
 
@@ -143,7 +145,7 @@
     start = d.now
     while len(answered) < 5 and d.now < start + 500.0:
         d.now += 8.0
-        answered.update({a.id: d.now - start for a in finals(d.timer(0))})
+        answered.update({a.id: d.now - start for a in finals(d.timer(QUEUE_TIMER))})
     assert all(answered[i + 1] < left for i, left in enumerate((400.0, 90.0, 300.0, 60.0, 200.0)))
 
 
@@ -155,7 +157,7 @@
     assert d.outcome(send.id, 0, send.endpoint, S.TIMEOUT) == [Fail(send.id)]
     assert d.outcome(send.id, 0, send.endpoint, S.TIMEOUT) == []
     assert d.tell(ClientDisconnected(send.id)) == []
-    assert d.lb.jobs == {}
+    assert d.lb.requests.pending == {}
 
 
 # ---- rule 2: effects ---------------------------------------------------------------------------
@@ -229,7 +231,7 @@
         d.servers(3)
         (send,) = sends(d.request())
         d.now += 90.0
-        actions = d.timer(send.id << 3 | 1)
+        actions = d.timer(timer_token(TimerKind.HEDGE, send.id))
         assert len(sends(actions)) == int(allowed)
     copy = sends(actions)[0]
     assert copy.endpoint != send.endpoint
@@ -254,7 +256,7 @@
     assert set(d.serve(5)) == {sid(2)}
     d.now += 60_000.0
     d.list(EndpointEntry(sid(2)))
-    assert list(d.lb.servers) == [sid(2)]  # nothing is kept of servers long gone
+    assert list(d.endpoints) == [sid(2)]  # nothing is kept of servers long gone
 
 
 def test_discovery_on_request_is_watched_and_asked_again_with_backoff() -> None:
@@ -284,8 +286,8 @@
         cold_overload_factor=2.5,
     )
     d.servers(cold + warm)
-    d.lb.knee = 50.0
-    d.lb.refreshed = -1.0  # limits are rebuilt at the next event
+    d.policies.limit.per_endpoint = 50.0
+    d.lb.refresh.last_at = -1.0  # limits are rebuilt at the next event
     d.now += 60000.0
     for _ in range(int(rate * 10)):
         d.serve(1, took=1000.0 / rate)
@@ -320,7 +322,7 @@
 def test_a_server_back_from_refused_connections_counts_as_cold() -> None:
     d = Driver(initial_capacity_share=0.1, slow_start_ms=20000.0)
     d.servers(2)
-    s = d.lb.servers[sid(0)]
+    s = d.endpoints[sid(0)]
     for down in (True, False):
         for _ in range(1000):
             for send in sends(d.request()):
@@ -328,8 +330,8 @@
                 bad = down and send.endpoint == sid(0)
                 for again in sends(d.outcome(send.id, 0, send.endpoint, S.CONNECT_FAILED if bad else S.OK)):
                     d.outcome(again.id, 1, again.endpoint)
-        assert s.dead == down
-    assert 0.1 <= d.lb._warmth(s) < 1.0
+        assert s.is_process_lost == down
+    assert 0.1 <= d.policies.slow_start.warm_up_factor(s, d.lb.requests.now) < 1.0
 
 
 # ---- health ----------------------------------------------------------------------------------------
@@ -338,14 +340,14 @@
 def test_attempts_lost_in_one_pause_are_one_failure() -> None:
     d = Driver([UNSAFE])
     d.servers(1)
-    d.lb.knee = 10.0
-    d.lb.refreshed = -1.0  # limits are rebuilt at the next event
+    d.policies.limit.per_endpoint = 10.0
+    d.lb.refresh.last_at = -1.0  # limits are rebuilt at the next event
     d.serve(3)
     lost = [sends(d.request())[0] for _ in range(5)]
     d.now += 400.0
     for send in lost:
         d.outcome(send.id, 0, send.endpoint, S.TIMEOUT)
-    assert d.lb.servers[sid(0)].fails == 1
+    assert d.endpoints[sid(0)].consecutive_failures == 1
 
 
 def test_a_time_out_of_an_attempt_sent_too_late_says_nothing_of_the_server() -> None:
@@ -354,7 +356,7 @@
     (send,) = sends(d.request())
     d.now += 60.0
     d.outcome(send.id, 0, send.endpoint, S.TIMEOUT)
-    assert d.lb.servers[sid(0)].fails == 0
+    assert d.endpoints[sid(0)].consecutive_failures == 0
 
 
 def _fail(d: Driver, bad: set[bytes], rounds: int) -> None:
@@ -373,7 +375,7 @@
     assert sid(0) not in d.serve(5)
     d.now += 10000.0
     assert sid(0) in d.serve(200)
-    assert d.lb.servers[sid(0)].fails == 0
+    assert d.endpoints[sid(0)].consecutive_failures == 0
 
 
 def test_when_most_servers_look_bad_the_judgement_is_doubted() -> None:
@@ -388,14 +390,14 @@
     for others in (0, 1):
         d = Driver([IDEMPOTENT, IDEMPOTENT], tenants=[Tenant("a")])
         d.servers(1)
-        (s,) = d.lb.servers.values()
+        (s,) = d.endpoints.values()
         sends(d.request(0))
         for _ in range(others):
             (send,) = sends(d.request(1))
             d.outcome(send.id, 0, send.endpoint)
         d.now += 400.0
         d.outcome(1, 0, s.id, S.TIMEOUT, finished=True)
-        assert bool(s.flows) == bool(others)
+        assert bool(s.circuits) == bool(others)
 
 
 def test_a_silent_server_passes_its_turn_long_before_a_time_out() -> None:
@@ -425,7 +427,7 @@
                 actions += d.outcome(send.id, 0, send.endpoint)
             for _ in range(4):
                 actions += d.request()
-            actions += d.timer(T_TICK)
+            actions += d.timer(QUEUE_TIMER)
             self.out += [(d.now + took, send) for send in sends(actions)]
             self.out.sort(key=lambda entry: entry[0])
             d.now += 10.0
@@ -441,12 +443,12 @@
 
 def test_the_limit_falls_while_answers_are_slow_and_comes_back_once_they_are_not(jam: Jam) -> None:
     jam.run(5.0, 3)
-    healthy = jam.d.lb.knee
+    healthy = jam.d.policies.limit.per_endpoint
     jam.run(150.0, 2)  # in time for the aim of 200, but with nothing to spare
-    jammed = jam.d.lb.knee
+    jammed = jam.d.policies.limit.per_endpoint
     assert jammed < 0.25 * healthy
     jam.run(5.0, 3)
-    assert jam.d.lb.knee > 2.0 * jammed
+    assert jam.d.policies.limit.per_endpoint > 2.0 * jammed
 
 
 def test_however_bad_the_past_attempts_go_on_while_a_server_is_ready(jam: Jam) -> None:
@@ -457,40 +459,40 @@
 def test_servers_slow_without_load_rest_but_for_one_and_then_that_one_rests(jam: Jam) -> None:
     d = jam.d
     jam.run(150.0, 5)
-    assert d.lb.patient and d.lb.rest_until > d.now + 1000.0
+    assert d.policies.limit.counts_late_only and d.policies.limit.quiesce_until > d.now + 1000.0
     told = [a.text for a in d.log if isinstance(a, Log)]
-    assert len(told) == 1 and told[0].startswith("rest: ")
-    awake = d.lb.awake
-    assert {s.endpoint for s in jam.run(150.0, 1)} == {awake.id}
-    while d.now < d.lb.rest_until + 200.0:
+    assert len(told) == 1 and told[0].startswith("quiesce: ")
+    active = d.policies.limit.active_endpoint
+    assert {s.endpoint for s in jam.run(150.0, 1)} == {active.id}
+    while d.now < d.policies.limit.quiesce_until + 200.0:
         jam.run(150.0, 0.1)
-    assert {s.endpoint for s in jam.run(5.0, 3)} == {sid(i) for i in range(4)} - {awake.id}
-    assert not d.lb.patient  # it was the load: slow counts again
+    assert {s.endpoint for s in jam.run(5.0, 3)} == {sid(i) for i in range(4)} - {active.id}
+    assert not d.policies.limit.counts_late_only  # it was the load: slow counts again
     jam.run(5.0, 3)
-    assert awake.id in {s.endpoint for s in jam.run(5.0, 1)}
+    assert active.id in {s.endpoint for s in jam.run(5.0, 1)}
 
 
 def test_the_rest_ends_at_once_when_the_one_that_goes_on_is_quick_again(jam: Jam) -> None:
     jam.run(150.0, 5)
-    assert jam.d.lb.rest_until > jam.d.now + 1000.0
+    assert jam.d.policies.limit.quiesce_until > jam.d.now + 1000.0
     jam.run(5.0, 0.5)
-    assert jam.d.lb.rest_until < jam.d.now and not jam.d.lb.patient
+    assert jam.d.policies.limit.quiesce_until < jam.d.now and not jam.d.policies.limit.counts_late_only
     assert {s.endpoint for s in jam.run(5.0, 0.5)} == {sid(i) for i in range(4)}
 
 
 def test_a_silent_server_is_not_the_one_that_goes_on_while_the_others_rest(jam: Jam) -> None:
     d = jam.d
     jam.run(150.0, 5)
-    first = d.lb.awake
+    first = d.policies.limit.active_endpoint
     jam.out = [(d.now + 1e9 if s.endpoint == first.id else at, s) for at, s in jam.out]  # never answered
     jam.run(150.0, 1)
-    assert d.lb.awake is not first
+    assert d.policies.limit.active_endpoint is not first
     assert len(jam.run(150.0, 1)) >= 5
 
 
 def test_servers_slow_by_nature_rest_once_and_are_used_again(jam: Jam) -> None:
     jam.run(150.0, 20)
-    assert jam.d.lb.patient and jam.d.lb.rest_until < jam.d.now
+    assert jam.d.policies.limit.counts_late_only and jam.d.policies.limit.quiesce_until < jam.d.now
     assert len([a for a in jam.d.log if isinstance(a, Log)]) == 1
     assert len(jam.run(150.0, 3)) > 100  # four servers at 150 ms
 
@@ -499,7 +501,7 @@
     d = Driver([UNSAFE], instance_count=2)
     d.servers(3)
     d.serve(60)
-    d.lb.knee = 2.0
+    d.policies.limit.per_endpoint = 2.0
     stuck = 0
     while stuck < 2:
         (send,) = sends(d.request())
@@ -508,7 +510,7 @@
         else:
             d.outcome(send.id, 0, send.endpoint)
     d.now += 150.0  # silent for longer than a usual latency, by far
-    d.lb._refresh()
+    d.refresh()
     taken = [s.endpoint for _ in range(6) for s in sends(d.request())]
     assert sorted(taken) == sorted([sid(1), sid(2)] * 2)
 
@@ -516,9 +518,9 @@
 def test_what_is_not_limited_does_not_raise_the_limit() -> None:
     d = Driver([UNSAFE], instance_count=2)
     d.servers(4)
-    before = d.lb.knee
+    before = d.policies.limit.per_endpoint
     d.serve(1000)
-    assert d.lb.knee == before
+    assert d.policies.limit.per_endpoint == before
 
 
 def test_held_requests_go_by_share_then_worth_then_the_youngest_first() -> None:
@@ -529,8 +531,8 @@
     tenants = [Tenant("a", quota_rps=1000.0), Tenant("b", quota_rps=0.001)]
     d = Driver([cheap, dear], tenants=tenants, instance_count=2)
     d.servers(1)
-    d.lb.room = 1.0
-    d.lb.refreshed = 1e12  # the limit stays
+    d.policies.limit.total = 1.0
+    d.lb.refresh.last_at = 1e12  # the limit stays
     (out,) = sends(d.request(0))
     for cls, tenant in ((1, 1), (0, 1), (0, 0), (1, 0), (1, 0), (0, 0)):  # requests 2 to 7
         assert not sends(d.request(cls, tenant=tenant))
@@ -545,25 +547,25 @@
     d = Driver([UNSAFE], instance_count=2)
     d.servers(1)
     d.serve(200, took=100.0)  # usual: half of the aim
-    d.lb.room = 1.0
-    d.lb.refreshed = 1e12
+    d.policies.limit.total = 1.0
+    d.lb.refresh.last_at = 1e12
     sends(d.request())
     d.request()
     held = d.next_id
     d.now += 60.0  # of the aim of 200: what remains is less than it takes, with the usual spread
-    assert [a.id for a in finals(d.timer(T_TICK))] == [held]
+    assert [a.id for a in finals(d.timer(QUEUE_TIMER))] == [held]
 
 
 def test_fresh_requests_go_before_late_ones() -> None:
     d = Driver([RequestClass("a", 100.0, 1000.0, late_priority_weight=0.5)])
     d.servers(1)
-    d.lb.knee = 1.0
-    d.lb.refreshed = -1.0  # limits are rebuilt at the next event
+    d.policies.limit.per_endpoint = 1.0
+    d.lb.refresh.last_at = -1.0  # limits are rebuilt at the next event
     d.now += 1000.0
     (busy,) = sends(d.request())
     d.request()
     d.now += 80.0
-    d.timer(0)
+    d.timer(QUEUE_TIMER)
     d.request()
     (send,) = sends(d.outcome(busy.id, 0, busy.endpoint))
     assert send.id == 3
@@ -583,8 +585,8 @@
 def test_over_share_tenants_wait_behind_the_others() -> None:
     d = Driver(tenants=[Tenant("a", 0.5, 1.0), Tenant("b", 0.5, 1000.0)])
     d.servers(1)
-    d.lb.knee = 1.0
-    d.lb.refreshed = -1.0  # limits are rebuilt at the next event
+    d.policies.limit.per_endpoint = 1.0
+    d.lb.refresh.last_at = -1.0  # limits are rebuilt at the next event
     d.now += 1000.0
     for _ in range(40):
         for send in sends(d.request(tenant=0)):
@@ -603,8 +605,8 @@
 def test_peers_in_flight_counts_and_lapses_when_the_peer_falls_silent() -> None:
     d = Driver(peer_messages_allowed=True, instance_count=3)
     d.servers(2)
-    d.lb.knee = 2.0
-    d.lb.refreshed = -1.0  # limits are rebuilt at the next event
+    d.policies.limit.per_endpoint = 2.0
+    d.lb.refresh.last_at = -1.0  # limits are rebuilt at the next event
     d.now += 1000.0
     d.tell(PeerMessage(1, sid(0) + bytes((9,))))
     d.tell(PeerMessage(2, sid(0) + bytes((0,))))
@@ -612,14 +614,14 @@
     assert {sends(d.request())[0].endpoint for _ in range(2)} == {sid(1)}
     d.now += 5000.0
     d.request()
-    assert d.lb.servers[sid(0)].peer_sum == 0
+    assert d.endpoints[sid(0)].peer_in_flight == 0
 
 
 def test_an_instance_keeps_its_own_share_of_the_limit() -> None:
     d = Driver(peer_messages_allowed=True, instance_count=2)
     d.servers(1)
-    d.lb.knee = 4.0
-    d.lb.refreshed = -1.0  # limits are rebuilt at the next event
+    d.policies.limit.per_endpoint = 4.0
+    d.lb.refresh.last_at = -1.0  # limits are rebuilt at the next event
     d.now += 1000.0
     d.tell(PeerMessage(1, sid(0) + bytes((9,))))
     d.now += 500.0
@@ -633,11 +635,11 @@
     d = Driver(peer_messages_allowed=True, instance_count=2)
     assert d.outcome(99, 0, sid(0)) == []
     assert d.tell(ClientDisconnected(99)) == []
-    assert d.timer(12345 << 3 | 1) == []
+    assert d.timer(timer_token(TimerKind.HEDGE, 12345)) == []
     assert d.tell(PeerMessage(7, b"?")) == []
     assert d.tell(HealthChecked(sid(9), S.TIMEOUT, 1.0, (float("nan"),))) == []
     assert d.list(EndpointEntry(sid(5), availability=Availability.DRAINING), mode=UpdateMode.DELTA) == []
-    assert d.lb.servers == {}
+    assert d.endpoints == {}
     d.list(
         EndpointEntry(sid(0), weight=0.0),
         EndpointEntry(sid(1), weight=float("nan"), started_at_ms=d.now + 1e6),
@@ -668,36 +670,36 @@
 
 
 def test_windows_of_many_instances_cover_all_servers_alike() -> None:
-    used = Counter(s.id for k in range(200) for s in fleet(k, 200, 100).lb.ready)
+    used = Counter(s.id for k in range(200) for s in fleet(k, 200, 100).selected)
     assert len(used) == 100
     assert set(used.values()) <= set(range(10, 15))  # 200 x 6 / 100 = 12 instances a server
 
 
 def test_few_instances_use_every_server_between_them() -> None:
-    assert len(fleet(0, 1, 100).lb.ready) == 100
-    assert len({s.id for k in range(20) for s in fleet(k, 20, 100).lb.ready}) == 100
+    assert len(fleet(0, 1, 100).selected) == 100
+    assert len({s.id for k in range(20) for s in fleet(k, 20, 100).selected}) == 100
 
 
 def test_failing_servers_do_not_fill_the_window() -> None:
     d = fleet(0, 200, 100)
-    before = {s.id for s in d.lb.ready}
-    for s in d.lb.ready[:5]:
-        s.fails = 5
+    before = {s.id for s in d.selected}
+    for s in d.selected[:5]:
+        s.consecutive_failures = 5
     d.now += 1000.0
     d.request()
-    after = {s.id for s in d.lb.ready}
+    after = {s.id for s in d.selected}
     assert before < after and len(after) == len(before) + 5
 
 
 def test_a_server_that_returns_finds_its_place_in_the_window() -> None:
     d = fleet(3, 200, 100)
-    before = [s.id for s in d.lb.ready]
-    lost = [EndpointEntry(i, zone=d.lb.servers[i].zone, availability=Availability.GONE) for i in before[:2]]
+    before = [s.id for s in d.selected]
+    lost = [EndpointEntry(i, zone=d.endpoints[i].zone, availability=Availability.GONE) for i in before[:2]]
     d.list(*lost, mode=UpdateMode.DELTA)
-    assert len(d.lb.ready) == 6 and set(before[2:]) < {s.id for s in d.lb.ready}
+    assert len(d.selected) == 6 and set(before[2:]) < {s.id for s in d.selected}
     d.now += 5000.0
-    d.list(*(EndpointEntry(i, zone=d.lb.servers[i].zone) for i in before[:2]), mode=UpdateMode.DELTA)
-    assert [s.id for s in d.lb.ready] == before
+    d.list(*(EndpointEntry(i, zone=d.endpoints[i].zone) for i in before[:2]), mode=UpdateMode.DELTA)
+    assert [s.id for s in d.selected] == before
 
 
 def test_peers_are_told_only_of_servers_that_they_share() -> None:
@@ -706,7 +708,7 @@
     d.tell(PeerMessage(6, sid(0) + bytes((0,))))
     told = [(a.peer, a.data[:6]) for _ in range(2) for a in d.request() if isinstance(a, SendToPeer)]
     assert told == [(6, sid(0))]
-    hello = [a for a in d.timer(3) if isinstance(a, SendToPeer)]
+    hello = [a for a in d.timer(LOAD_REPORT_TIMER) if isinstance(a, SendToPeer)]
     assert [(a.peer, a.data) for a in hello] == [(None, sid(0) + b"\1" + sid(1) + b"\1")]
 
 
@@ -714,13 +716,13 @@
     d = Driver()
     d.servers(2)
     d.serve(1)
-    at = d.lb.refreshed
+    at = d.lb.refresh.last_at
     d.now += 200.0
     d.serve(1)
-    assert d.lb.refreshed == at
+    assert d.lb.refresh.last_at == at
     d.now += 300.0
     d.serve(1)
-    assert d.lb.refreshed == d.now - 5.0
+    assert d.lb.refresh.last_at == d.now - 5.0
 
 
 def test_the_first_mix_takes_classes_to_ask_for_equal_work() -> None:
@@ -731,7 +733,7 @@
         d.request()
     d.now += 200.0
     d.request()
-    assert 3 <= sum(s.for_long for s in d.lb.ready) <= 7  # not nine of ten
+    assert 3 <= sum(s.serves_long_work for s in d.selected) <= 7  # not nine of ten
 
 
 def test_the_cold_budget_follows_what_warm_servers_are_seen_to_do() -> None:
@@ -740,35 +742,35 @@
     d.serve(400)  # one warm server carries all of it
     cold = [EndpointEntry(sid(i), started_at_ms=d.now) for i in range(1, 10)]
     d.list(*cold, mode=UpdateMode.DELTA)
-    server = d.lb.servers[sid(1)]
-    usual_load = 1.2 * 0.2 * d.lb.arrived / 10  # as if all ten shared it already
-    assert server.rate > 3 * usual_load
-    assert server.rate <= 1.2 * 0.21 * d.lb.carried
+    server = d.endpoints[sid(1)]
+    usual_load = 1.2 * 0.2 * d.policies.latency.arrivals.rate / 10  # as if all ten shared it already
+    assert server.cold_rate > 3 * usual_load
+    assert server.cold_rate <= 1.2 * 0.21 * d.policies.slow_start.work_rate_per_size
 
 
 def test_long_work_never_leaves_its_part() -> None:
     short = RequestClass("short", 100.0, 200.0, idempotency=Idempotency.NON_IDEMPOTENT)
     d = Driver([short, RequestClass("long", 1500.0, 3000.0, idempotency=Idempotency.NON_IDEMPOTENT)])
     d.servers(4)
-    d.lb.refreshed = d.now + 1e9  # parts as they stand
-    part = {s.id for s in d.lb.ready if s.for_long}
+    d.lb.refresh.last_at = d.now + 1e9  # parts as they stand
+    part = {s.id for s in d.selected if s.serves_long_work}
     assert 0 < len(part) < 4
-    for s in d.lb.ready:
-        s.limit = s.own = 1
+    for s in d.selected:
+        s.limit = s.own_limit = 1
     for _ in range(4):
         d.request(1)
         d.request(0)
-    for s in d.lb.ready:  # room again, but not in the part of the long
-        s.limit = s.own = 0 if s.id in part else 9
+    for s in d.selected:  # room again, but not in the part of the long
+        s.limit = s.own_limit = 0 if s.id in part else 9
     d.now += 40.0  # short work has waited long enough for its part
-    d.timer(0)
-    assert {job.cls for *_, job in d.lb.waiting} == {1}
+    d.timer(QUEUE_TIMER)
+    assert {entry.request.class_index for entry in d.policies.queue.entries} == {1}
     d.now += 360.0  # nor may long work go elsewhere after a fifth of its aim
     for send in sends(d.log):
         if send.endpoint not in part:  # idle and well
             d.outcome(send.id, 0, send.endpoint)
-    assert not {send.endpoint for send in sends(d.timer(0))} - part
-    assert {job.cls for *_, job in d.lb.waiting} == {1}
+    assert not {send.endpoint for send in sends(d.timer(QUEUE_TIMER))} - part
+    assert {entry.request.class_index for entry in d.policies.queue.entries} == {1}
 
 
 def test_where_many_share_a_server_peers_are_not_told() -> None:
@@ -776,7 +778,7 @@
     d.servers(2)
     d.tell(PeerMessage(6, sid(0) + bytes((0,))))
     d.serve(3)
-    d.timer(T_PEERS)
+    d.timer(LOAD_REPORT_TIMER)
     assert not [a for a in d.log if isinstance(a, SendToPeer)]
 
 
@@ -799,7 +801,7 @@
 
 
 def turn(d: Driver, rid: int) -> list[Action]:
-    return d.timer(rid << 3 | T_TURN)
+    return d.timer(timer_token(TimerKind.KEY_TURN, rid))
 
 
 def test_requests_of_a_key_run_one_at_a_time_as_taken_over_all_ordered_classes() -> None:
@@ -833,14 +835,14 @@
     (first,) = sends(d.request(0, key=7))
     d.outcome(first.id, 0, first.endpoint, S.RESET)
     d.now += 20.0
-    d.lb._refresh()
+    d.refresh()
     assert not sends(d.request(0, key=7))
     d.now += 31.0
     (second,) = sends(turn(d, 2))
     d.outcome(second.id, 0, second.endpoint)
     d.now += 600.0
     d.request(2)
-    assert d.lb.lines == {}
+    assert d.policies.queue.key_queues == {}
 
 
 def test_an_answered_or_abandoned_request_blocks_its_key_until_its_attempt_is_told() -> None:
@@ -854,7 +856,7 @@
 def test_who_waits_for_its_key_is_answered_in_time_and_frees_the_next() -> None:
     d = ordered()
     (first,) = sends(d.request(0, key=7))
-    d.lb.alike = [0.0] * 3  # clients differ: less time tells of no earlier try
+    d.policies.queue.alike_share = [0.0] * 3  # clients differ: less time tells of no earlier try
     d.request(0, key=7, left=300.0)
     d.request(0, key=7)
     d.now += 291.0
@@ -864,7 +866,7 @@
 
 def test_a_queue_that_its_key_cannot_serve_in_time_is_refused_at_once_with_advice() -> None:
     d = ordered(retry_after=True)
-    d.lb.usual = [150.0] * 3
+    d.policies.latency.typical_ms[:] = [150.0] * 3
     d.request(0, key=7)
     assert not finals(d.request(0, key=7))
     assert finals(d.request(0, key=7)) == [Reject(3, 400.0)]
@@ -913,8 +915,8 @@
     d.request()
     d.request()
     d.now += 90.0
-    assert len(sends(d.timer(1 << 3 | 1))) == 1
-    assert not sends(d.timer(2 << 3 | 1))
+    assert len(sends(d.timer(timer_token(TimerKind.HEDGE, 1)))) == 1
+    assert not sends(d.timer(timer_token(TimerKind.HEDGE, 2)))
 
 
 @pytest.mark.parametrize("may_have_run", [False, True])
@@ -940,7 +942,7 @@
     d.servers(3, weight=4.0)
     loaded = [EndpointEntry(sid(i), weight=1.0) for i in (0, 1)]
     d.list(*loaded, EndpointEntry(sid(2), weight=4.0, started_at_ms=d.now), mode=UpdateMode.DELTA)
-    assert [s.size for s in d.lb.servers.values()] == [4.0, 4.0, 4.0]
+    assert [s.size for s in d.endpoints.values()] == [4.0, 4.0, 4.0]
 
 
 def test_an_unused_cold_token_lapses_and_instances_start_at_different_levels() -> None:
@@ -949,16 +951,16 @@
         d = Driver(seed=seed, instance_count=200, cold_overload_factor=1.5, cold_overload_window_ms=1500.0)
         d.servers(3)
         d.list(EndpointEntry(sid(0), started_at_ms=d.now), mode=UpdateMode.DELTA)
-        s = d.lb.servers[sid(0)]
-        levels.add(s.tokens)
-        assert 0.0 <= s.tokens < 1.0
-        d.lb.arrived = 0.005
+        s = d.endpoints[sid(0)]
+        levels.add(s.cold_tokens)
+        assert 0.0 <= s.cold_tokens < 1.0
+        d.policies.latency.arrivals.rate = 0.005
         for _ in range(40):
             d.now += 500.0
-            d.lb._refresh()
-            d.lb.arrived = 0.005
-            if s.rate < 1.0:
-                assert s.tokens <= 1.0 + s.rate * 375.0 + 1e-9
+            d.refresh()
+            d.policies.latency.arrivals.rate = 0.005
+            if s.cold_rate < 1.0:
+                assert s.cold_tokens <= 1.0 + s.cold_rate * 375.0 + 1e-9
     assert len(levels) == 20
 
 
@@ -987,17 +989,17 @@
 
 def test_a_tenant_is_shut_out_as_a_whole_only_once_two_of_its_classes_failed() -> None:
     d = _kinds(tenants=[Tenant("x"), Tenant("y")])
-    s = d.lb.servers[sid(0)]
+    s = d.endpoints[sid(0)]
 
     def fail(cls: int, tenant: int) -> None:
-        s.blocked_until, s.failed_at = 0.0, -1.0
-        for other in d.lb.servers.values():
+        s.blocked_until, s.last_failure_at = 0.0, -1.0
+        for other in d.endpoints.values():
             other.blocked_until = 0.0 if other is s else d.now + 1.0
         (send,) = sends(d.request(cls, tenant=tenant))
         d.outcome(send.id, 0, send.endpoint, S.REJECTED)
 
     def shut(flow: tuple[int, int]) -> bool:
-        return flow in s.flows and s.flows[flow][1] > d.now
+        return flow in s.circuits and s.circuits[flow].open_until > d.now
 
     fail(0, 1)
     assert shut((0, 1)) and not shut((0, -1)) and not shut((-1, 1))
@@ -1010,23 +1012,29 @@
     d.servers(1)
     d.serve(400)
     d.list(EndpointEntry(sid(1), started_at_ms=d.now), mode=UpdateMode.DELTA)
-    carried = d.lb.carried
-    d.lb.arrived = 50.0 * carried  # a storm of clients' repeats
-    d.lb._refresh()
-    assert 0.0 < d.lb.servers[sid(1)].rate <= 1.01 * 0.9 * 0.2 * carried  # 0.6 of the multiple that tips it
+    carried = d.policies.slow_start.work_rate_per_size
+    d.policies.latency.arrivals.rate = 50.0 * carried  # a storm of clients' repeats
+    d.refresh()
+    assert (
+        0.0 < d.endpoints[sid(1)].cold_rate <= 1.01 * 0.9 * 0.2 * carried
+    )  # 0.6 of the multiple that tips it
 
 
 def test_failed_connects_come_out_of_the_retry_budget() -> None:
     d = Driver([UNSAFE])
     d.servers(2)
-    d.lb.retry_tokens = 0.0  # each further connect would cost a server another handshake
+    d.policies.retry_budget.bucket.tokens = 0.0  # each further connect would cost a server another handshake
     (send,) = sends(d.request())
     assert finals(d.outcome(send.id, 0, send.endpoint, S.CONNECT_FAILED)) == [Reject(1, 0.0)]
-    assert d.lb.retry_tokens == 0.2
+    assert d.policies.retry_budget.bucket.tokens == 0.2
 
 
 def test_the_first_limit_falls_with_the_number_of_instances_that_share_a_server() -> None:
-    assert [fleet(0, n, 10).lb.knee for n in (1, 3, 100)] == [3.0, pytest.approx(5 / 3), 1.0]
+    assert [fleet(0, n, 10).policies.limit.per_endpoint for n in (1, 3, 100)] == [
+        3.0,
+        pytest.approx(5 / 3),
+        1.0,
+    ]
 
 
 def test_where_connects_often_fail_open_connections_go_first() -> None:
@@ -1035,9 +1043,9 @@
     (send,) = sends(d.request())
     d.outcome(send.id, 0, send.endpoint)  # one connection is open now
     assert len(set(d.serve(6))) == 3
-    for s in d.lb.servers.values():
-        s.conns = int(s.id == send.endpoint)
-    d.lb.unconnected = 0.5
+    for s in d.endpoints.values():
+        s.connections = int(s.id == send.endpoint)
+    d.policies.connections.connect_failure_share = 0.5
     assert set(d.serve(6)) == {send.endpoint}
     d.request()
     assert sends(d.request())  # a preference: with none free, a new one is opened
@@ -1054,9 +1062,13 @@
     loaded = [EndpointEntry(sid(i), weight=0.2) for i in (0, 1)]
     d.list(*loaded, EndpointEntry(sid(2), weight=1.0, started_at_ms=d.now))
     d.serve(200)
-    d.lb._refresh()
-    s, carried = d.lb.servers[sid(2)], d.lb.carried
-    assert 0.0 < s.rate <= 0.9 * d.lb._warmth(s) * 0.2 * carried * 1.01
+    d.refresh()
+    s, carried = d.endpoints[sid(2)], d.policies.slow_start.work_rate_per_size
+    assert (
+        0.0
+        < s.cold_rate
+        <= 0.9 * d.policies.slow_start.warm_up_factor(s, d.lb.requests.now) * 0.2 * carried * 1.01
+    )
 
 
 def test_connections_idle_for_as_long_as_a_lost_one_are_opened_anew() -> None:
@@ -1072,7 +1084,7 @@
     d.serve(1)
     d.now += 800.0
     assert [type(a) for a in d.request() if not isinstance(a, SetTimer)] == [CloseIdle, Send]
-    d.lb.unconnected = 0.5  # but not where connects fail
+    d.policies.connections.connect_failure_share = 0.5  # but not where connects fail
     d.outcome(d.next_id, 0, send.endpoint)
     d.now += 800.0
     assert not [a for a in d.request() if isinstance(a, CloseIdle)]
@@ -1081,16 +1093,16 @@
 def test_an_attempt_passed_over_by_four_later_ones_holds_no_place_any_longer() -> None:
     d = Driver([UNSAFE])
     d.servers(1)
-    (s,) = d.lb.servers.values()
-    s.limit = s.own = 2
-    d.lb.refreshed = 1e12  # the limit stays
+    (s,) = d.endpoints.values()
+    s.limit = s.own_limit = 2
+    d.lb.refresh.last_at = 1e12  # the limit stays
     assert len(sends(d.request())) == 1  # swallowed
     for _ in range(4):
-        assert s.lost == 0
+        assert s.written_off == 0
         (send,) = sends(d.request())
         d.now += 5.0
         d.outcome(send.id, 0, send.endpoint)
-    assert (s.inflight, s.lost) == (1, 1)
+    assert (s.in_flight, s.written_off) == (1, 1)
     assert [len(sends(d.request())) for _ in range(3)] == [1, 1, 0]  # both places are free
     d.outcome(1, 0, s.id, S.TIMEOUT)
-    assert (s.inflight, s.lost, len(s.out)) == (2, 0, 2)
+    assert (s.in_flight, s.written_off, len(s.later_responses)) == (2, 0, 2)
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -232,10 +232,10 @@
     world = play(seed)
     assert sum(isinstance(a, Send) for actions in world.trace for a in actions) > 15
     # bounded memory: nothing is kept of requests long ended
-    assert set(world.lb.jobs) <= set(world.attempts) | set(world.open)
-    assert len(world.lb.waiting) <= len(world.open) + 50
-    waiting = {id(job) for line in world.lb.lines.values() for job in line}
-    assert waiting <= {id(job) for job in world.lb.jobs.values()}
+    assert set(world.lb.requests.pending) <= set(world.attempts) | set(world.open)
+    assert len(world.lb.policies.queue.entries) <= len(world.open) + 50
+    waiting = {id(r) for queue in world.lb.policies.queue.key_queues.values() for r in queue.requests}
+    assert waiting <= {id(r) for r in world.lb.requests.pending.values()}
 
 
 def test_the_same_events_give_the_same_actions_over_long_runs() -> None:
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -57,7 +57,7 @@
     for d in drivers:
         drained = (EndpointEntry(i, availability=Availability.DRAINING) for i in left)
         d.list(*drained, mode=UpdateMode.DELTA)
-    used = Counter(s.id for d in drivers for s in d.lb.ready)
+    used = Counter(s.id for d in drivers for s in d.selected)
     assert set(used) == {e.id for e in entries} - left
     even = sum(used.values()) / len(used)
     assert even - 2 <= min(used.values()) and max(used.values()) <= even + 2
@@ -75,7 +75,7 @@
     for k in range(proxies):
         d = Driver(instance_number=k, instance_count=proxies, seed=k)
         d.list(*entries)
-        used.update(s.id for s in d.lb.ready)
+        used.update(s.id for s in d.selected)
     assert len(used) == len(entries)
     even = sum(used.values()) / len(used)
     assert even - 3 <= min(used.values()) and max(used.values()) <= even + 3
@@ -85,10 +85,10 @@
     """What was learned of a node, and the connections to it, are lost with its place in the window."""
     entries = nodes(35, 25)
     drivers = crowd(entries)
-    before, gone = [{s.id for s in d.lb.ready} for d in drivers], {e.id for e in entries[::10]}
+    before, gone = [{s.id for s in d.selected} for d in drivers], {e.id for e in entries[::10]}
     for d in drivers:
         d.list(*(e for e in entries if e.id not in gone))
-    kept = sum(len(b & {s.id for s in d.lb.ready}) for b, d in zip(before, drivers, strict=True))
+    kept = sum(len(b & {s.id for s in d.selected}) for b, d in zip(before, drivers, strict=True))
     assert kept > 0.7 * sum(len(b - gone) for b in before)
 
 
@@ -149,7 +149,7 @@
     lost = 0
     for d in crowd(nodes(30, 30), classes=[IDEMPOTENT] * 3, tenants=[Tenant(name) for name in "xyz"]):
         lose(d, set(), AttemptStatus.OK, 100, kinds=3)
-        lost += lose(d, {d.lb.ready[0].id}, AttemptStatus.ERROR, 100, kinds=3)
+        lost += lose(d, {d.selected[0].id}, AttemptStatus.ERROR, 100, kinds=3)
     assert lost / PROXIES < 3.5  # 3.95 without
 
 
@@ -160,10 +160,10 @@
         d = crowd(nodes(30, 30), cold_overload_factor=4.0, initial_capacity_share=0.3, slow_start_ms=8900.0)[
             0
         ]
-        lose(d, {s.id for s in d.lb.ready[:dead]}, AttemptStatus.CONNECT_FAILED, 400)
-        cold = d.lb.ready[-1]
+        lose(d, {s.id for s in d.selected[:dead]}, AttemptStatus.CONNECT_FAILED, 400)
+        cold = d.selected[-1]
         d.list(EndpointEntry(cold.id, zone=cold.zone, started_at_ms=d.now), mode=UpdateMode.DELTA)
-        budgets.append(cold.rate / d.lb.arrived)  # nine answer in either case
+        budgets.append(cold.cold_rate / d.policies.latency.arrivals.rate)  # nine answer in either case
     assert budgets[1] > 0.9 * budgets[0] > 0.0
 
 
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -199,7 +199,7 @@
     back = fleet.second()
     fleet.run(6)
     assert fleet.service(back, back + 5) >= SERVED
-    low, high = sorted(proxy.lb.knee for proxy in fleet.proxies)
+    low, high = sorted(proxy.lb.policies.limit.per_endpoint for proxy in fleet.proxies)
     assert high < 4.0 * low
 
 
