--- a/alderspool/balancer/admission_queue.py
+++ b/alderspool/balancer/admission_queue.py
@@ -4,15 +4,13 @@
 weight, then the youngest first, and what can hardly be in time any more is late or given up.
 """
 
-from __future__ import annotations
-
-from heapq import heappush
 from math import inf
 
 from alderspool.balancer.class_isolation import ISOLATED_SHARE_OF_OBJECTIVE
 from alderspool.balancer.events import Request
 from alderspool.balancer.latency import MIX_MEMORY_MS, LatencyEstimates
-from alderspool.balancer.request_state import KeyQueue, QueueEntry, QueueRank, RequestState
+from alderspool.balancer.moving_averages import FadingSums
+from alderspool.balancer.request_state import KeyQueue, KeyQueues, PriorityQueue, QueueRank, RequestState
 from alderspool.balancer.settings import Settings
 
 # A request is queued until its latency objective less so many typical latencies, between these shares of it:
@@ -37,14 +35,13 @@
     """Queued requests, by priority and by key. It sends nothing itself."""
 
     def __init__(self, settings: Settings, latency: LatencyEstimates) -> None:
-        self.entries: list[QueueEntry] = []
-        self.key_queues: dict[int, KeyQueue] = {}
+        self.waiting = PriorityQueue()
+        self.key_queues = KeyQueues()
         self.is_timer_set = False
         self.alike_share = [1.0] * len(settings.classes)  # of calm requests that have about as much time left
-        self.tenant_rps = [0.0] * len(settings.tenants)
+        self.tenant_rps = FadingSums(len(settings.tenants))
         self.last_given_up_at = -inf
         self._longest_time_left_ms = [0.0] * len(settings.classes)
-        self._sequence = 0
         self._settings = settings
         self._latency = latency
 
@@ -65,23 +62,28 @@
 
     def push(self, request: RequestState) -> None:
         """Queue a request."""
-        self._sequence += 1
-        priority = self._settings.classes[request.class_index].priority_weight
-        heappush(self.entries, QueueEntry(request.rank, -priority, -self._sequence, request))
+        self.waiting.push(request, self._settings.classes[request.class_index].priority_weight)
+
+    def is_expired(self, request: RequestState, now: float) -> bool:
+        """Whether a request is given up that was queued until its time; if not it goes behind the others."""
+        is_late_useless = self._settings.classes[request.class_index].late_priority_weight <= 0.0
+        if now >= request.respond_by or is_late_useless:
+            return True
+        request.rank = QueueRank.LATE
+        request.queue_until = request.respond_by
+        return False
 
     def join_key_queue(self, request: RequestState, key: int, now: float) -> bool:
         """Queue a request behind those of its key; return whether the key can serve it in time.
 
         One that it cannot is rejected at once: else all requests of a popular key are late.
         """
-        queue = self.key_queues.setdefault(key, KeyQueue())
+        queue = self.key_queues.of_key(key)
         ahead = len(queue.requests)
         needed_ms = (ahead + 1) * self._latency.typical_ms[request.traffic_class]
         if ahead >= MAX_KEY_QUEUE or (ahead and now + needed_ms > request.objective_at):
             return False
-        queue.requests.append(request)
-        request.key_queue = queue
-        request.awaits_key_turn = True
+        queue.join(request)
         return True
 
     def key_turn_delay_ms(self, request: RequestState, queue: KeyQueue, now: float) -> float | None:
@@ -94,19 +96,6 @@
             check_at = min(check_at, request.queue_until)
         return max(check_at - now, 0.0) + KEY_TIMER_MARGIN_MS
 
-    def refresh(self, now: float) -> None:
-        """Drop what is known of idle keys."""
-        if self.key_queues:
-            self.key_queues = {
-                key: queue
-                for key, queue in self.key_queues.items()
-                if queue.requests or queue.quiesce_until > now
-            }
-
-    def fade_tenant_rates(self, fade: float) -> None:
-        """Fade the moving rates of the tenants."""
-        self.tenant_rps[:] = [rate * fade for rate in self.tenant_rps]
-
     def _objective_left_ms(self, event: Request, now: float) -> float:
         """Return the rest of the latency objective: a wave of client retries must not be served too late."""
         request_class = self._settings.classes[event.cls]
@@ -129,6 +118,6 @@
         tenants = self._settings.tenants
         if tenant >= len(tenants):
             return False
-        self.tenant_rps[tenant] += 1000.0 / MIX_MEMORY_MS
+        self.tenant_rps.values[tenant] += 1000.0 / MIX_MEMORY_MS
         quota_rps = tenants[tenant].quota_rps / self._settings.instance_count
-        return 0.0 < quota_rps < self.tenant_rps[tenant]
+        return 0.0 < quota_rps < self.tenant_rps.values[tenant]
--- a/alderspool/balancer/balancer.py
+++ b/alderspool/balancer/balancer.py
@@ -24,16 +24,13 @@
 )
 from alderspool.balancer.load_reports import FULL_REPORT_INTERVAL_MS
 from alderspool.balancer.policies import Policies
-from alderspool.balancer.refresh import REFRESH_INTERVAL_MS, Refresh
+from alderspool.balancer.refresh import Refresh
 from alderspool.balancer.request_dispatch import RequestDispatcher
+from alderspool.balancer.schedule import REFRESH_INTERVAL_MS, poll_backoff_ms
 from alderspool.balancer.settings import Settings
 from alderspool.balancer.subset import REMOVED_KEPT_MS
 from alderspool.balancer.timers import KIND_BITS, KIND_MASK, TimerKind, timer_token
 
-FIRST_POLL_BACKOFF_MS = 1000.0  # after a failed call to discovery; doubles with each further one
-# A drain counts as notified 6 s after it was made, heard or not: discovery is polled again within this.
-MAX_POLL_BACKOFF_MS = 4000.0
-
 
 class Balancer:
     """All decisions of one instance. Times are milliseconds of a clock that never runs backwards."""
@@ -89,11 +86,10 @@
     def _on_list_update(self, event: EndpointListUpdate) -> None:
         now = self.requests.now
         if event.mode == UpdateMode.FAILED:
+            list_max_age_ms = self.settings.list_max_age_ms
+            backoff_ms = poll_backoff_ms(self._failed_polls, list_max_age_ms, self.random.random())
             self._failed_polls += 1
-            backoff_ms = FIRST_POLL_BACKOFF_MS * 2 ** (self._failed_polls - 1)
-            backoff_ms = min(backoff_ms, MAX_POLL_BACKOFF_MS, self.settings.list_max_age_ms)
-            jitter = 0.5 + 0.5 * self.random.random()
-            self.requests.actions.append(SetTimer(timer_token(TimerKind.WATCH), backoff_ms * jitter))
+            self.requests.actions.append(SetTimer(timer_token(TimerKind.WATCH), backoff_ms))
             return
         self._failed_polls = 0
         self.policies.endpoint_list.apply(event, now, REMOVED_KEPT_MS)
@@ -123,7 +119,7 @@
             )
 
     def _on_peer_message(self, event: PeerMessage) -> None:
-        if self.policies.load_reports.receive(event, self.requests.now):
+        if self.policies.load_reports.peers.receive(event, self.requests.now):
             self.requests.dispatch_queued()
 
     def _on_client_disconnected(self, event: ClientDisconnected) -> None:
--- a/alderspool/balancer/class_isolation.py
+++ b/alderspool/balancer/class_isolation.py
@@ -3,8 +3,6 @@
 The part is the first endpoints of the rotation order, on which all instances agree without messages.
 """
 
-from __future__ import annotations
-
 from math import inf
 
 from alderspool.balancer.endpoint import EndpointState
--- a/alderspool/balancer/concurrency_limit.py
+++ b/alderspool/balancer/concurrency_limit.py
@@ -8,12 +8,12 @@
 that does not help, they are slow by nature, and only what misses its objective counts as slow from then on.
 """
 
-from __future__ import annotations
-
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from math import exp, inf
 
 from alderspool.balancer.endpoint import EndpointState
+from alderspool.balancer.events import AttemptStatus
+from alderspool.balancer.moving_averages import WorkSums
 from alderspool.balancer.outlier_detection import is_outlier
 
 INITIAL_LIMIT = 3.0  # of a mean endpoint, before anything is learned
@@ -35,9 +35,8 @@
 QUIESCE_SILENCE_MS = 700.0  # after which the active endpoint is replaced
 RELIEF_SHARE_OF_TYPICAL = 0.55  # latency at the active endpoint that ends the quiesce
 RELIEF_GAIN = 0.2
-LATE_ONLY_MAX_LOADS = (
-    3.0  # low loads that are the most while only late work counts: peers would be pushed out
-)
+LATE_ONLY_MAX_LOADS = 3.0  # low loads, the limit while only late work counts: peers would be pushed out
+Endpoints = list[EndpointState]
 
 
 @dataclass(slots=True)
@@ -45,35 +44,39 @@
     """The learned limit of a mean endpoint, and the endpoints' limits that follow from it."""
 
     per_endpoint: float = INITIAL_LIMIT
-    total: float = inf  # of all endpoints together
+    total: float = inf  # of all endpoints together; not applied with load reports, which limit each endpoint
     total_in_flight: int = 0
     counts_late_only: bool = False
     quiesce_until: float = -inf
     active_endpoint: EndpointState | None = None  # goes on while all others quiesce, and quiesces after them
     active_latency_ratio: float = 1.0  # moving average of its latency over the typical one meanwhile
     low_load_slow_since: float = -inf
-    ended_work: float = 0.0  # moving sums, in typical requests
-    slow_work: float = 0.0
-    late_work: float = 0.0
-
-    def set_initial(self, sharing_instances: float) -> None:
-        """Start lower where many share an endpoint: hundreds that know nothing would overload it at once."""
-        self.per_endpoint = min(INITIAL_LIMIT, max(INITIAL_LIMIT_SHARED / max(sharing_instances, 1.0), 1.0))
-
-    def record_end(self, work: float, latency_ms: float, objective_ms: float) -> None:
-        """Take in an attempt that was served or timed out."""
-        self.ended_work += work
-        if latency_ms > SLOW_SHARE_OF_OBJECTIVE * objective_ms:
-            self.slow_work += work
-        if latency_ms > objective_ms:
-            self.late_work += work
+    work: WorkSums = field(default_factory=WorkSums)  # in typical requests
+    sharing_instances: float = 1.0
+    has_load_reports: bool = False
+
+    def set_sharing(self, sharing_instances: float, has_load_reports: bool, is_first: bool) -> None:
+        """Take over how many instances share an endpoint.
+
+        Where many do the first limit is lower: hundreds that know nothing would overload it at once.
+        """
+        self.sharing_instances = sharing_instances
+        self.has_load_reports = has_load_reports
+        if is_first and not has_load_reports:
+            self.per_endpoint = min(INITIAL_LIMIT, max(INITIAL_LIMIT_SHARED / sharing_instances, 1.0))
+
+    def record_end(self, status: int, work: float, latency_ms: float, objective_ms: float) -> None:
+        """Take in how an attempt at a warm endpoint ended: a cold one is slow at any load."""
+        if status in (AttemptStatus.OK, AttemptStatus.TIMEOUT):
+            is_slow = latency_ms > SLOW_SHARE_OF_OBJECTIVE * objective_ms
+            self.work.add(work, is_slow, latency_ms > objective_ms)
 
     def record_success(self, endpoint: EndpointState, latency_ratio: float) -> None:
         """Take in the latency of a served attempt over the typical one."""
         if endpoint is self.active_endpoint:
             self.active_latency_ratio += (latency_ratio - self.active_latency_ratio) * RELIEF_GAIN
 
-    def set_endpoint_limits(self, endpoints: list[EndpointState], mean_size: float) -> None:
+    def set_endpoint_limits(self, endpoints: Endpoints, mean_size: float) -> None:
         """Give each endpoint its limit by its size, and this instance its part of it."""
         for endpoint in endpoints:
             scaled = self.per_endpoint * endpoint.size / mean_size * endpoint.warm_up_factor
@@ -84,22 +87,22 @@
                 endpoint.limit = 1
                 endpoint.own_limit = 1
 
-    def learn(self, now: float, elapsed_ms: float, is_queueing: bool, sharing_instances: float) -> bool:
+    def learn(self, now: float, elapsed_ms: float, is_queueing: bool) -> bool:
         """Adjust the limit; return whether a quiesce begins."""
-        low_load = LOW_LOAD / sharing_instances
+        low_load = LOW_LOAD / self.sharing_instances
         slow_share = self._slow_share(now)
         if slow_share > TARGET_SLOW_SHARE:
             self.per_endpoint *= exp(FALL_PER_S * (TARGET_SLOW_SHARE - slow_share) * elapsed_ms / 1000.0)
         elif is_queueing and self.total_in_flight > MIN_USED_SHARE * self.total:
             headroom = 1.0 - slow_share / TARGET_SLOW_SHARE
-            self.per_endpoint += RISE_PER_S / sharing_instances * headroom * elapsed_ms / 1000.0
+            self.per_endpoint += RISE_PER_S / self.sharing_instances * headroom * elapsed_ms / 1000.0
         begins = False
         if self.counts_late_only or self.per_endpoint >= low_load or slow_share <= TARGET_SLOW_SHARE:
             self.low_load_slow_since = now
         elif now - self.low_load_slow_since > LOW_LOAD_SURE_MS:
             self.counts_late_only = True
             is_due = now > self.quiesce_until + QUIESCE_INTERVAL_MS
-            begins = is_due and sharing_instances <= QUIESCE_MAX_SHARING
+            begins = is_due and self.sharing_instances <= QUIESCE_MAX_SHARING
         if begins:
             self.quiesce_until = now + QUIESCE_MS
             self.active_endpoint = None
@@ -107,13 +110,10 @@
         most = LATE_ONLY_MAX_LOADS * low_load if self.counts_late_only else MAX_LIMIT
         is_quiescing = now < self.quiesce_until
         self.per_endpoint = low_load if is_quiescing else min(max(self.per_endpoint, low_load), most)
-        fade = exp(-elapsed_ms / LATENCY_MEMORY_MS)
-        self.ended_work *= fade
-        self.slow_work *= fade
-        self.late_work *= fade
+        self.work.fade(exp(-elapsed_ms / LATENCY_MEMORY_MS))
         return begins
 
-    def apply(self, endpoints: list[EndpointState], now: float, mean_size: float) -> None:
+    def apply(self, endpoints: Endpoints, now: float, mean_size: float) -> None:
         """Quiesce endpoints, and rebuild the total limit.
 
         The open attempts of stalled and removed endpoints take no capacity from the others.
@@ -124,43 +124,36 @@
             for endpoint in healthy
             if not endpoint.in_flight or now - endpoint.silent_since <= endpoint.stall_timeout_ms
         ]
-        self._quiesce(endpoints, healthy, responsive, now)
+        if now < self.quiesce_until:
+            self._quiesce_others(endpoints, healthy, responsive, now)
+        elif self.active_endpoint is not None and now < self.quiesce_until + QUIESCE_MS:
+            self.active_endpoint.limit = 0
+            self.active_endpoint.own_limit = 0
         size = sum(endpoint.size * endpoint.warm_up_factor for endpoint in responsive)
         in_flight = sum(endpoint.in_flight for endpoint in responsive)
         self.total = max(self.per_endpoint * size / mean_size, 1.0) + self.total_in_flight - in_flight
 
     def _slow_share(self, now: float) -> float:
         """Return the share of the work that was slow, or late where only that counts."""
-        ended_work = self.ended_work + PRIOR_WORK
-        slow_share = self.slow_work / ended_work
+        ended_work = self.work.ended + PRIOR_WORK
+        slow_share = self.work.slow / ended_work
         if slow_share <= TARGET_SLOW_SHARE and now > self.quiesce_until + LATENCY_MEMORY_MS:
             self.counts_late_only = False
-        return self.late_work / ended_work if self.counts_late_only else slow_share
-
-    def _quiesce(
-        self,
-        endpoints: list[EndpointState],
-        healthy: list[EndpointState],
-        responsive: list[EndpointState],
-        now: float,
+        return self.work.late / ended_work if self.counts_late_only else slow_share
+
+    def _quiesce_others(
+        self, endpoints: Endpoints, healthy: Endpoints, responsive: Endpoints, now: float
     ) -> None:
-        """Give all endpoints but the active one nothing, then the active one nothing."""
+        """Give all endpoints but the active one nothing."""
         active = self.active_endpoint
-        if now >= self.quiesce_until:
-            if active is not None and now < self.quiesce_until + QUIESCE_MS:
-                active.limit = 0
-                active.own_limit = 0
-        elif (
-            self.active_latency_ratio < RELIEF_SHARE_OF_TYPICAL
-        ):  # quick again, though it got work: it is over
+        if self.active_latency_ratio < RELIEF_SHARE_OF_TYPICAL:  # it is quick again, with work: no need
             self.quiesce_until = now - QUIESCE_MS
             self.active_endpoint = None
             self.counts_late_only = False
-        else:
-            if active not in healthy or (active.in_flight and now - active.silent_since > QUIESCE_SILENCE_MS):
-                active = next(iter(responsive), None)
-                self.active_endpoint = active
-            for endpoint in endpoints:
-                limit = 1 if active is None or endpoint is active else 0
-                endpoint.limit = limit
-                endpoint.own_limit = limit
+            return
+        if active not in healthy or (active.in_flight and now - active.silent_since > QUIESCE_SILENCE_MS):
+            active = next(iter(responsive), None)
+            self.active_endpoint = active
+        for endpoint in endpoints:
+            endpoint.limit = 1 if active is None or endpoint is active else 0
+            endpoint.own_limit = endpoint.limit
--- a/alderspool/balancer/connection_health.py
+++ b/alderspool/balancer/connection_health.py
@@ -1,7 +1,5 @@
 """Connections: which idle ones are trusted, and when open ones are preferred to new ones."""
 
-from __future__ import annotations
-
 from dataclasses import dataclass
 
 from alderspool.balancer.events import AttemptStatus
--- a/alderspool/balancer/endpoint.py
+++ b/alderspool/balancer/endpoint.py
@@ -122,6 +122,12 @@
         self.is_process_lost = False
         self.circuits = {}
 
+    def restart(self, now: float) -> None:
+        """Treat the endpoint, back from a crash before the list says so, as just started."""
+        self.is_process_lost = False
+        self.started_at = now
+        self.cold_tokens = 0.0
+
     def begin_attempt(self, now: float, traffic_class: int, stall_timeout_ms: float) -> int:
         """Record an attempt as sent; return its number among those sent here."""
         self.attempts_sent += 1
@@ -163,7 +169,7 @@
         self.silent_since = now
         return passed
 
-    def fade_figures(self, factor: float, now: float) -> None:
+    def fade_figures(self, factor: float, now: float, typical_ms: list[float]) -> None:
         """Fade the moving sums, and add up the time in flight with that of the open attempts."""
         self.served_by_class = [served * factor for served in self.served_by_class]
         self.busy_ms_by_class = [busy * factor for busy in self.busy_ms_by_class]
@@ -173,12 +179,23 @@
                 self.busy_ms_by_class, self.open_by_class, self.open_sent_sum_by_class, strict=True
             )
         ]
+        self.served_work = sum(
+            served * typical for served, typical in zip(self.served_by_class, typical_ms, strict=True)
+        )
 
     def has_open_circuit(self, keys: CircuitKeys, now: float) -> bool:
         """Whether one of these circuits is open."""
         circuits = self.circuits
         return any(key in circuits and circuits[key].open_until > now for key in keys)
 
+    def halve_circuit_failures(self, keys: CircuitKeys) -> None:
+        """Halve the failures of these circuits; one that failed once is forgotten."""
+        if self.circuits:
+            for key in keys:
+                circuit = self.circuits.pop(key, None)
+                if circuit is not None and circuit.failures > 1:
+                    self.circuits[key] = circuit._replace(failures=circuit.failures // 2)
+
     def set_peer_load(self, peer: int, in_flight: int) -> None:
         """Take over what a peer reports to have open here."""
         self.peer_in_flight += in_flight - self.in_flight_by_peer.get(peer, 0)
--- a/alderspool/balancer/endpoint_list.py
+++ b/alderspool/balancer/endpoint_list.py
@@ -5,10 +5,12 @@
 from math import inf
 from random import Random
 
-from alderspool.balancer.endpoint import EndpointState
+from alderspool.balancer.containers import bit_reversed, interleave_in_proportion
+from alderspool.balancer.endpoint import EndpointState, endpoint_id
 from alderspool.balancer.events import Availability, EndpointEntry, EndpointId, EndpointListUpdate, UpdateMode
 from alderspool.balancer.settings import Settings
 
+RANK_BITS = 16  # of a place among the endpoints of a zone
 START_TIME_ROUNDING_MS = 1.0  # start times are listed with this precision
 
 
@@ -39,6 +41,21 @@
             if endpoint.is_ready or endpoint.in_flight or endpoint.last_ready_at > oldest
         }
 
+    def ready_ring(self) -> list[EndpointState]:
+        """Return the ready endpoints in an order on which all instances agree, zones in proportion.
+
+        With half a subset from each zone, or gaps where endpoints were removed, the few of a small zone and
+        those behind a gap would bear a multiple of the others' load.
+        """
+        zones: dict[int, list[EndpointState]] = {}
+        for endpoint in sorted(self.endpoints_by_id.values(), key=endpoint_id):
+            zone = zones.setdefault(endpoint.zone, [])
+            # Neighbours are far apart in the rotation: each subset has its part of the first ranks.
+            endpoint.rotation_rank = bit_reversed(len(zone), RANK_BITS)
+            zone.append(endpoint)
+        ready = [[endpoint for endpoint in zones[zone] if endpoint.is_ready] for zone in sorted(zones)]
+        return interleave_in_proportion(ready)
+
     def _apply_entry(self, entry: EndpointEntry) -> None:
         endpoint = self.endpoints_by_id.get(entry.id)
         is_ready = entry.availability == Availability.READY
--- a/alderspool/balancer/hedging.py
+++ b/alderspool/balancer/hedging.py
@@ -1,8 +1,7 @@
 """Hedging: a second attempt while the first is open, as that sits on a paused or slowed endpoint."""
 
-from __future__ import annotations
-
 from alderspool.balancer.request_state import RequestState
+from alderspool.balancer.settings import Settings
 
 DELAY_FACTOR = 3.0  # typical latencies after which a hedge goes out; sooner it hits what just takes longer
 MIN_TIME_LEFT_FACTOR = 0.3  # typical latencies that must be left of the latency objective
@@ -16,3 +15,8 @@
 def can_meet_objective(request: RequestState, now: float, typical_ms: float) -> bool:
     """Whether a hedge that goes out now may still be in time."""
     return now + MIN_TIME_LEFT_FACTOR * typical_ms <= request.objective_at
+
+
+def cancels_losers(settings: Settings) -> bool:
+    """Whether open attempts of a finished request are cancelled: only where hedges are made at all."""
+    return settings.cancel_allowed and settings.hedging_allowed
--- a/alderspool/balancer/latency.py
+++ b/alderspool/balancer/latency.py
@@ -3,8 +3,6 @@
 A traffic class is a request class; where there is only one, cost hints split it in two.
 """
 
-from __future__ import annotations
-
 from math import exp, inf
 
 from alderspool.balancer.events import Request
--- a/alderspool/balancer/load_report_codec.py
+++ b/alderspool/balancer/load_report_codec.py
@@ -17,6 +17,13 @@
     return endpoint.id + bytes((min(endpoint.in_flight, MAX_COUNT),))
 
 
+def encode_messages(endpoints: list[EndpointState], entries_per_message: int) -> list[bytes]:
+    """Return the messages that report all these endpoints."""
+    entries = [encode_entry(endpoint) for endpoint in endpoints]
+    starts = range(0, len(entries), entries_per_message)
+    return [b"".join(entries[start : start + entries_per_message]) for start in starts]
+
+
 def is_well_formed(data: bytes) -> bool:
     """Whether these are one or more complete entries."""
     return bool(data) and not len(data) % ENTRY_BYTES
--- a/alderspool/balancer/moving_averages.py
+++ b/alderspool/balancer/moving_averages.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 
 class ClassMix:
     """Moving counts of the requests of each class, and their shares at the last refresh."""
@@ -42,6 +44,40 @@
                 self.means[index] = (self._sums[index] + prior_sum) / (count + self._prior_count)
 
 
+class FadingSums:
+    """Sums by index that fade."""
+
+    def __init__(self, count: int) -> None:
+        self.values = [0.0] * count
+
+    def fade(self, factor: float) -> None:
+        """Multiply all by the factor."""
+        self.values[:] = [value * factor for value in self.values]
+
+
+@dataclass(slots=True)
+class WorkSums:
+    """Fading sums of the work that ended, of what was slow of it, and of what was late."""
+
+    ended: float = 0.0
+    slow: float = 0.0
+    late: float = 0.0
+
+    def add(self, work: float, is_slow: bool, is_late: bool) -> None:
+        """Add work that ended."""
+        self.ended += work
+        if is_slow:
+            self.slow += work
+        if is_late:
+            self.late += work
+
+    def fade(self, factor: float) -> None:
+        """Multiply all by the factor."""
+        self.ended *= factor
+        self.slow *= factor
+        self.late *= factor
+
+
 class ArrivalRate:
     """A moving rate per ms, averaged over the time known where that is shorter than the memory."""
 
--- a/alderspool/balancer/outlier_detection.py
+++ b/alderspool/balancer/outlier_detection.py
@@ -4,15 +4,12 @@
 wait, until one is served. A first failure costs next to nothing.
 """
 
-from __future__ import annotations
-
 from dataclasses import dataclass
-from typing import NamedTuple
 
 from alderspool.balancer.endpoint import ANY, Circuit, EndpointState
 from alderspool.balancer.events import AttemptStatus
 from alderspool.balancer.latency import LatencyEstimates
-from alderspool.balancer.request_state import RequestState
+from alderspool.balancer.request_state import EndedAttempt, RequestState
 from alderspool.balancer.settings import Settings
 
 FAIR_TIMEOUT_FACTOR = 2.5  # a time-out counts against its endpoint from this many typical latencies on
@@ -28,15 +25,6 @@
 WRITTEN_OFF_AFTER_RESPONSES = 4  # to attempts sent later: an attempt is lost and takes no capacity any longer
 
 
-class EndedAttempt(NamedTuple):
-    """What is known of an attempt that has ended."""
-
-    status: int
-    sent_at: float
-    latency_ms: float
-    later_responses: int  # to attempts that were sent to the endpoint later
-
-
 def is_outlier(endpoint: EndpointState) -> bool:
     """Whether the endpoint is ejected: it gets one trial at a time, after each back-off."""
     return endpoint.consecutive_failures >= EJECTED_AFTER_FAILURES
@@ -61,11 +49,7 @@
 
     def record_success(self, endpoint: EndpointState, request: RequestState) -> None:
         """End the back-off; halve the failures of circuits: a rate-limited kind is served now and then."""
-        if endpoint.circuits:
-            for key in request.circuit_keys:
-                circuit = endpoint.circuits.pop(key, None)
-                if circuit is not None and circuit.failures > 1:
-                    endpoint.circuits[key] = circuit._replace(failures=circuit.failures // 2)
+        endpoint.halve_circuit_failures(request.circuit_keys)
         endpoint.consecutive_failures = 0
 
     def record_failure(
--- a/alderspool/balancer/policies.py
+++ b/alderspool/balancer/policies.py
@@ -12,6 +12,7 @@
 from alderspool.balancer.latency import LatencyEstimates
 from alderspool.balancer.load_reports import LoadReports
 from alderspool.balancer.outlier_detection import OutlierDetector
+from alderspool.balancer.peer_loads import PeerLoads
 from alderspool.balancer.retry_budget import RetryBudget
 from alderspool.balancer.retry_rules import RetryRules
 from alderspool.balancer.rotation import Rotation
@@ -32,9 +33,10 @@
         self.connections = ConnectionHealth()
         self.slow_start = SlowStart(settings, self.latency)
         self.limit = ConcurrencyLimit()
-        self.retry_rules = RetryRules(settings)
+        self.retry_rules = RetryRules(settings, self.latency)
         self.retry_budget = RetryBudget(settings)
-        self.load_reports = LoadReports(settings, self.endpoint_list, settings.peer_messages_allowed)
+        peers = PeerLoads(self.endpoint_list, settings.instance_count)
+        self.load_reports = LoadReports(settings, peers, settings.peer_messages_allowed)
         self.queue = AdmissionQueue(settings, self.latency)
         self.rotation = Rotation(
             settings, random, self.latency, self.subset, self.isolation, self.connections, self.retry_rules
--- a/alderspool/balancer/refresh.py
+++ b/alderspool/balancer/refresh.py
@@ -1,23 +1,19 @@
-"""The refresh: what all policies learned is rebuilt now and then, in a fixed order; requests only read it."""
+"""The refresh: rebuilds what the policies learned, in a fixed order. Requests only read it."""
 
 from __future__ import annotations
 
 from math import exp, inf
 
 from alderspool.balancer.latency import MIX_MEMORY_MS
+from alderspool.balancer.load_reports import PEER_SILENCE_MS
 from alderspool.balancer.outlier_detection import is_outlier
 from alderspool.balancer.policies import Policies
+from alderspool.balancer.schedule import MAX_ELAPSED_MS, MIN_ELAPSED_MS, is_refresh_due
 from alderspool.balancer.settings import Settings
 
-REFRESH_INTERVAL_MS = 100.0  # far under human time, rare enough to be cheap
-MIN_REQUESTS = 4.0  # but not before so many came (in requests of mean typical latency)
-MAX_REFRESH_INTERVAL_MS = 500.0  # or so long passed
-MIN_ELAPSED_MS = 1e-3
-MAX_ELAPSED_MS = 1000.0  # a longer pause counts as this long
-
 
 class Refresh:
-    """Decides when a refresh is due, and does it."""
+    """Runs the refresh of all policies when `schedule` says that it is due."""
 
     def __init__(self, settings: Settings, policies: Policies) -> None:
         self.last_at = -inf
@@ -26,11 +22,7 @@
 
     def is_due(self, now: float) -> bool:
         """Whether enough time and traffic have passed since the last one."""
-        age_ms = now - self.last_at
-        if age_ms < REFRESH_INTERVAL_MS:
-            return False
-        has_requests = self._policies.latency.arrivals.since_refresh >= MIN_REQUESTS
-        return has_requests or age_ms >= MAX_REFRESH_INTERVAL_MS
+        return is_refresh_due(now - self.last_at, self._policies.latency.arrivals.since_refresh)
 
     def reselect(self, now: float) -> None:
         """Select the subset anew, with all that depends on how many instances share it."""
@@ -41,8 +33,7 @@
         policies.outliers.subset_size = len(subset.selected)
         policies.outliers.sharing_instances = subset.sharing_instances
         policies.load_reports.set_sharing_instances(subset.sharing_instances)
-        if is_first and not policies.load_reports.is_sending:
-            policies.limit.set_initial(subset.sharing_instances)
+        policies.limit.set_sharing(subset.sharing_instances, policies.load_reports.is_sending, is_first)
 
     def run(self, now: float) -> bool:
         """Rebuild everything; return whether a quiesce begins."""
@@ -55,16 +46,16 @@
         elapsed_ms = min(max(now - self.last_at, MIN_ELAPSED_MS), MAX_ELAPSED_MS)
         self.last_at = now
         policies.connections.refresh(elapsed_ms)
-        policies.queue.fade_tenant_rates(exp(-elapsed_ms / MIX_MEMORY_MS))
+        policies.queue.tenant_rps.fade(exp(-elapsed_ms / MIX_MEMORY_MS))
         policies.latency.refresh(now, elapsed_ms)
         if not subset.selected:
             return False
         policies.outliers.refresh()
         self._rebuild_weights(now, elapsed_ms)
         begins_quiesce = self._rebuild_limits(now, elapsed_ms)
-        policies.queue.refresh(now)
+        policies.queue.key_queues.drop_idle(now)
         if self._settings.peer_messages_allowed:
-            policies.load_reports.forget_silent_peers(now)
+            policies.load_reports.peers.forget_silent(now, PEER_SILENCE_MS)
         return begins_quiesce
 
     def _rebuild_weights(self, now: float, elapsed_ms: float) -> None:
@@ -84,8 +75,7 @@
         endpoints = policies.subset.selected
         mean_size = policies.endpoint_list.mean_size
         policies.limit.set_endpoint_limits(endpoints, mean_size)
-        is_queueing = bool(policies.queue.entries)
-        sharing_instances = policies.subset.sharing_instances
-        begins_quiesce = policies.limit.learn(now, elapsed_ms, is_queueing, sharing_instances)
+        is_queueing = bool(policies.queue.waiting.entries)
+        begins_quiesce = policies.limit.learn(now, elapsed_ms, is_queueing)
         policies.limit.apply(endpoints, now, mean_size)
         return begins_quiesce
--- a/alderspool/balancer/request_dispatch.py
+++ b/alderspool/balancer/request_dispatch.py
@@ -1,4 +1,7 @@
-"""Request dispatch: the way of each request from its arrival through its attempts to its final response."""
+"""Request dispatch: the way of each request from its arrival through its attempts to its final response.
+
+It carries out what the policies decide, and keeps their books. All thresholds and choices are theirs.
+"""
 
 from __future__ import annotations
 
@@ -10,16 +13,14 @@
 from alderspool.balancer.admission_queue import CANDIDATES_PER_DISPATCH, CHECK_INTERVAL_MS
 from alderspool.balancer.endpoint import Attempt, EndpointState
 from alderspool.balancer.events import AttemptStatus, Outcome, Request
-from alderspool.balancer.outlier_detection import WRITTEN_OFF_AFTER_RESPONSES, EndedAttempt
+from alderspool.balancer.outlier_detection import WRITTEN_OFF_AFTER_RESPONSES
 from alderspool.balancer.policies import Policies
-from alderspool.balancer.request_state import QueueEntry, QueueRank, RequestState
+from alderspool.balancer.request_state import EndedAttempt, QueueEntry, RequestState
+from alderspool.balancer.retry_rules import MAY_RUN_ON
+from alderspool.balancer.schedule import MAX_LOG_LINES
 from alderspool.balancer.settings import Settings
 from alderspool.balancer.timers import TimerKind, timer_token
 
-MAX_LOG_LINES = 60  # per life of an instance
-# An attempt that ended so may still be running at its endpoint.
-MAY_RUN_ON = (AttemptStatus.TIMEOUT, AttemptStatus.RESET, AttemptStatus.CANCELLED)
-
 
 class RequestDispatcher:
     """Owns the pending requests. The caller sets `now` and takes the `actions` for each event."""
@@ -102,12 +103,15 @@
 
     def dispatch_queued(self, is_sweep: bool = False) -> None:
         """Send queued requests while there is capacity; a sweep looks at all of them."""
-        entries = self._queue.entries
+        now = self.now
+        entries = self._queue.waiting.entries
         without_endpoint: list[QueueEntry] = []
         while entries and (is_sweep or len(without_endpoint) < CANDIDATES_PER_DISPATCH):
             entry = heappop(entries)
             request = entry.request
-            if request.is_finished or self._give_up_expired(request):
+            # Compared here as well: a sweep may pass thousands of requests with nothing to be done.
+            may_be_expired = now > request.queue_until or now >= request.respond_by
+            if request.is_finished or (may_be_expired and self._give_up_expired(request)):
                 continue
             if request.rank != entry.rank:
                 self._enqueue(request)
@@ -127,7 +131,9 @@
             self.actions.append(Log(text))
 
     def _place(self, request: RequestState) -> None:
-        endpoint = None if self._queue.entries else self._pick(request)  # those queued before come first
+        endpoint = (
+            None if self._queue.waiting.entries else self._pick(request)
+        )  # those queued before come first
         if endpoint is None:
             self._enqueue(request)
         else:
@@ -138,7 +144,7 @@
         self._set_queue_timer()
 
     def _set_queue_timer(self) -> None:
-        if self._queue.entries and not self._queue.is_timer_set:
+        if self._queue.waiting.entries and not self._queue.is_timer_set:
             self._queue.is_timer_set = True
             self.actions.append(SetTimer(timer_token(TimerKind.QUEUE), CHECK_INTERVAL_MS))
 
@@ -146,10 +152,10 @@
         policies = self.policies
         if request.attempts and not policies.retry_budget.can_withdraw(self.now):
             return None
-        in_flight = policies.limit.total_in_flight
-        if in_flight >= policies.limit.total and not policies.load_reports.is_sending:
+        limit = policies.limit
+        if limit.total_in_flight >= limit.total and not limit.has_load_reports:
             return None
-        return policies.rotation.pick(request, self.now, in_flight)
+        return policies.rotation.pick(request, self.now, limit.total_in_flight)
 
     def _send(self, request: RequestState, endpoint: EndpointState) -> None:
         policies = self.policies
@@ -198,11 +204,10 @@
         if status in (AttemptStatus.CONNECT_FAILED, AttemptStatus.RESET):
             endpoint.connections = endpoint.in_flight
         ended = EndedAttempt(status, attempt.sent_at, self.now - attempt.sent_at, later_responses)
-        # An endpoint that warms up is slow at any load: it says nothing of the limit.
-        if (is_served or status == AttemptStatus.TIMEOUT) and endpoint.cold_rate == inf:
+        if endpoint.cold_rate == inf:
             work = policies.latency.typical_ms[request.traffic_class] / policies.latency.mean_typical_ms
             objective_ms = self._settings.classes[request.class_index].latency_objective_ms
-            policies.limit.record_end(work, ended.latency_ms, objective_ms)
+            policies.limit.record_end(status, work, ended.latency_ms, objective_ms)
         if is_served:
             self._record_success(request, endpoint, ended.latency_ms)
         else:
@@ -219,10 +224,8 @@
         endpoint.busy_ms_by_class[traffic_class] += latency_ms
         policies.limit.record_success(endpoint, latency_ms / policies.latency.typical_ms[traffic_class])
         policies.latency.record_response(traffic_class, latency_ms)
-        if endpoint.is_process_lost:  # back from a crash before the list says so: it has just started
-            endpoint.is_process_lost = False
-            endpoint.started_at = self.now
-            endpoint.cold_tokens = 0.0
+        if endpoint.is_process_lost:
+            endpoint.restart(self.now)
 
     def _record_failure(self, request: RequestState, endpoint: EndpointState, ended: EndedAttempt) -> None:
         policies = self.policies
@@ -245,28 +248,17 @@
             self._forget(request)
         if request.is_finished or request.open_attempts:
             return
-        may_retry = policies.retry_rules.may_attempt(request, self.now)
-        if (
-            may_retry
-            and policies.retry_budget.can_withdraw(self.now)
-            and not self._is_retry_too_late(request)
-        ):
+        rules = policies.retry_rules
+        may_retry = rules.may_attempt(request, self.now) and rules.is_retry_useful(request, self.now)
+        if may_retry and policies.retry_budget.can_withdraw(self.now):
             self._place(request)
         else:
             self._give_up(request)
 
-    def _is_retry_too_late(self, request: RequestState) -> bool:
-        """Whether a retry would be of no use even if it took no more than the no-load latency."""
-        is_late_useless = self._settings.classes[request.class_index].late_priority_weight <= 0.0
-        no_load_ms = self.policies.latency.no_load_ms[request.traffic_class]
-        return self.now >= request.respond_by or (
-            is_late_useless and self.now + no_load_ms > request.objective_at
-        )
-
     def _finish(self, request: RequestState) -> None:
         """End a request; its open attempts are cancelled where hedges are made at all."""
         request.is_finished = True
-        if self._settings.cancel_allowed and self._settings.hedging_allowed:
+        if hedging.cancels_losers(self._settings):
             for number, attempt in enumerate(request.attempts):
                 if attempt is not None:
                     self.actions.append(Cancel(request.id, number))
@@ -274,27 +266,17 @@
             self._forget(request)
 
     def _give_up_expired(self, request: RequestState) -> bool:
-        """Give up a request that was queued too long to be of use; return whether it is over.
-
-        One that is only late goes behind the others.
-        """
+        """Give up a request that was queued too long; return whether it is over."""
         now = self.now
-        if now <= request.queue_until and now < request.respond_by:
-            return False
-        is_late_useless = self._settings.classes[request.class_index].late_priority_weight <= 0.0
-        if now >= request.respond_by or is_late_useless:
+        if (now > request.queue_until or now >= request.respond_by) and self._queue.is_expired(request, now):
             self._give_up(request)
-        else:
-            request.rank = QueueRank.LATE
         return request.is_finished
 
     def _give_up(self, request: RequestState) -> None:
         """Send the final response: a rejection where that is true."""
         self._queue.last_given_up_at = self.now
         if self.policies.retry_rules.may_reject(request):
-            objective_ms = self._settings.classes[request.class_index].latency_objective_ms
-            retry_after_ms = min(objective_ms, self._settings.max_retry_after_ms)
-            self.actions.append(Reject(request.id, retry_after_ms if self._settings.retry_after else 0.0))
+            self.actions.append(Reject(request.id, self.policies.retry_rules.retry_after_ms(request)))
         else:
             self.actions.append(Fail(request.id))
         self._finish(request)
--- a/alderspool/balancer/request_state.py
+++ b/alderspool/balancer/request_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from enum import IntEnum
+from heapq import heappush
 from math import inf
 from typing import NamedTuple
 
@@ -27,6 +28,34 @@
         self.requests: list[RequestState] = []
         self.quiesce_until = -inf  # an attempt whose outcome is known may still be running until then
 
+    def join(self, request: RequestState) -> None:
+        """Put a request at the end."""
+        self.requests.append(request)
+        request.key_queue = self
+        request.awaits_key_turn = True
+
+
+class KeyQueues:
+    """The queues of all keys in use."""
+
+    __slots__ = ("by_key",)
+
+    def __init__(self) -> None:
+        self.by_key: dict[int, KeyQueue] = {}
+
+    def of_key(self, key: int) -> KeyQueue:
+        """Return the queue of a key."""
+        return self.by_key.setdefault(key, KeyQueue())
+
+    def drop_idle(self, now: float) -> None:
+        """Drop what is known of keys without requests that have quiesced."""
+        if self.by_key:
+            self.by_key = {
+                key: queue
+                for key, queue in self.by_key.items()
+                if queue.requests or queue.quiesce_until > now
+            }
+
 
 class RequestState:
     """A request without its final response, or with open attempts. Times are of the caller's clock, in ms."""
@@ -93,6 +122,15 @@
         return attempt
 
 
+class EndedAttempt(NamedTuple):
+    """What is known of an attempt that has ended."""
+
+    status: int
+    sent_at: float
+    latency_ms: float
+    later_responses: int  # to attempts that were sent to the endpoint later
+
+
 class QueueEntry(NamedTuple):
     """An entry of the admission queue's heap; the numbers are its order and never all alike."""
 
@@ -100,3 +138,18 @@
     negative_priority: float
     negative_sequence: int
     request: RequestState
+
+
+class PriorityQueue:
+    """Requests by rank, then by priority, then the youngest first."""
+
+    __slots__ = ("_sequence", "entries")
+
+    def __init__(self) -> None:
+        self.entries: list[QueueEntry] = []  # a heap
+        self._sequence = 0
+
+    def push(self, request: RequestState, priority: float) -> None:
+        """Put in a request."""
+        self._sequence += 1
+        heappush(self.entries, QueueEntry(request.rank, -priority, -self._sequence, request))
--- a/alderspool/balancer/retry_budget.py
+++ b/alderspool/balancer/retry_budget.py
@@ -4,8 +4,6 @@
 comes on top.
 """
 
-from __future__ import annotations
-
 from alderspool.balancer.containers import SlidingWindowCount, TokenBucket
 from alderspool.balancer.settings import Settings
 
--- a/alderspool/balancer/retry_rules.py
+++ b/alderspool/balancer/retry_rules.py
@@ -1,20 +1,22 @@
 """Retry rules: where idempotency lets a further attempt go, and for how long. They are safety rules."""
 
-from __future__ import annotations
-
 from alderspool.balancer.endpoint import EndpointState
 from alderspool.balancer.events import NEVER_RAN, AttemptStatus
+from alderspool.balancer.latency import LatencyEstimates
 from alderspool.balancer.request_state import RequestState
 from alderspool.balancer.settings import DeduplicationScope, Idempotency, Settings
 
+# An attempt that ended so may still be running at its endpoint.
+MAY_RUN_ON = (AttemptStatus.TIMEOUT, AttemptStatus.RESET, AttemptStatus.CANCELLED)
 TRANSIT_CLOCK_STEPS = 4  # by which a retry goes out before the end of the deduplication window
 
 
 class RetryRules:
     """What may be repeated, by the settings of the class."""
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, latency: LatencyEstimates) -> None:
         self._settings = settings
+        self._latency = latency
         self._classes = settings.classes
         proofs = NEVER_RAN - ({AttemptStatus.REJECTED} if settings.rejected_may_have_run else set())
         self._proofs_of_not_run = tuple(sorted(proofs))
@@ -38,6 +40,14 @@
             return True
         return idempotency == Idempotency.KEYED and now <= self.deduplicated_until(request)
 
+    def is_retry_useful(self, request: RequestState, now: float) -> bool:
+        """Whether a retry that takes no more than the no-load latency would still be of use."""
+        if now >= request.respond_by:
+            return False
+        is_late_useful = self._classes[request.class_index].late_priority_weight > 0.0
+        no_load_ms = self._latency.no_load_ms[request.traffic_class]
+        return is_late_useful or now + no_load_ms <= request.objective_at
+
     def is_in_scope(self, request: RequestState, endpoint: EndpointState, now: float) -> bool:
         """Whether a request that may have run may go to this endpoint too."""
         request_class = self._classes[request.class_index]
@@ -55,7 +65,8 @@
         It waited for its connection, and a duplicate that comes after the deduplication window would run.
         """
         is_keyed = self._classes[request.class_index].idempotency == Idempotency.KEYED
-        return len(request.attempts) < 2 or not is_keyed or now <= self.deduplicated_until(request)
+        is_retry = len(request.attempts) > 1
+        return not (is_keyed and is_retry) or now <= self.deduplicated_until(request)
 
     def may_reject(self, request: RequestState) -> bool:
         """Whether a rejection is true as final response: trying again must be harmless."""
@@ -66,6 +77,11 @@
             is_harmless = request_class.idempotency == Idempotency.IDEMPOTENT
         return is_harmless or not (request.may_have_run or request.open_attempts)
 
+    def retry_after_ms(self, request: RequestState) -> float:
+        """Return the advice to the client of a rejected request; 0: none."""
+        objective_ms = self._classes[request.class_index].latency_objective_ms
+        return min(objective_ms, self._settings.max_retry_after_ms) if self._settings.retry_after else 0.0
+
     def deduplicated_until(self, request: RequestState) -> float:
         """Return until when a duplicate that is sent is surely dropped, transit included."""
         window_ms = self._classes[request.class_index].deduplication_window_ms
--- a/alderspool/balancer/rotation.py
+++ b/alderspool/balancer/rotation.py
@@ -6,8 +6,6 @@
 subtracts the total from it, so turns are even and interleaved. All other modules are exceptions to this.
 """
 
-from __future__ import annotations
-
 from dataclasses import dataclass
 from math import exp, inf
 from random import Random
@@ -27,9 +25,7 @@
 FAILURE_COST = 4.0  # typical latencies in flight that a failure counts as: failing fast is not speed
 MIN_WEIGHT = 0.03  # of the mean: each ready endpoint keeps some turns and can show that it has recovered
 CROSS_ZONE_FACTOR = 10.0  # multiple of the crossing price by which the weight of other zones is lowered
-FAIR_SHARE_SLACK = (
-    1.3  # an endpoint with more than this multiple of its share open (and one more) is passed over
-)
+FAIR_SHARE_SLACK = 1.3  # with more than this multiple of its share open (and one more) it is passed over
 STALL_FACTOR = 2.5  # no response for so many typical latencies with attempts open: stalled, passed over
 OPEN_CIRCUIT_PENALTY = 1e9  # in current weight: behind any endpoint that is only passed over
 
@@ -56,10 +52,7 @@
         prior_ms = SEED_PRIOR * self.latency.mean_typical_ms
         mean_size = self.subset.endpoint_list.mean_size
         for endpoint in self.subset.selected:
-            endpoint.fade_figures(fade, now)
-            endpoint.served_work = sum(
-                served * typical for served, typical in zip(endpoint.served_by_class, typical_ms, strict=True)
-            )
+            endpoint.fade_figures(fade, now, typical_ms)
             work = endpoint.served_work + prior_ms * endpoint.size / mean_size
             endpoint.speed = work / (sum(endpoint.in_flight_ms_by_class) + prior_ms)
 
@@ -129,9 +122,8 @@
             in_flight = endpoint.in_flight
             fair = 1.0 + endpoint.fair_share * total_in_flight
             # It has far more than its share, or needs a new connection where these often fail: passed over.
-            if in_flight - endpoint.written_off > fair or (
-                prefers_open and in_flight >= endpoint.connections
-            ):
+            needs_connection = in_flight >= endpoint.connections
+            if in_flight - endpoint.written_off > fair or (prefers_open and needs_connection):
                 if current_weight > fallback_weight:
                     fallback = endpoint
                     fallback_weight = current_weight
--- a/alderspool/balancer/slow_start.py
+++ b/alderspool/balancer/slow_start.py
@@ -3,8 +3,6 @@
 A cold process that gets more than it can do fails at all of it, so its part is limited by tokens.
 """
 
-from __future__ import annotations
-
 from dataclasses import dataclass
 from math import inf
 
--- a/alderspool/balancer/subset.py
+++ b/alderspool/balancer/subset.py
@@ -4,13 +4,10 @@
 The subsets of all instances start evenly spread over one order of the list.
 """
 
-from __future__ import annotations
-
 from dataclasses import dataclass, field
 from math import inf
 
-from alderspool.balancer.containers import bit_reversed, interleave_in_proportion
-from alderspool.balancer.endpoint import EndpointState, endpoint_id, rotation_order
+from alderspool.balancer.endpoint import EndpointState, rotation_order
 from alderspool.balancer.endpoint_list import EndpointList
 from alderspool.balancer.latency import MIX_MEMORY_MS, MIX_PRIOR_REQUESTS, LatencyEstimates
 from alderspool.balancer.outlier_detection import is_outlier
@@ -23,7 +20,6 @@
 SHRINK_MARGIN = 0.3  # kept though it could shrink by this share: what was learned would be lost
 GOLDEN_RATIO = 0.6180339887  # its multiples are even among any part of the instances
 REMOVED_KEPT_MS = 30_000.0  # removed endpoints keep their place in the order for so long
-RANK_BITS = 16
 
 
 @dataclass(slots=True)
@@ -45,7 +41,7 @@
 
     def reselect(self, now: float) -> None:
         """Select from the endpoints that are ready now."""
-        ring = self._ring()
+        ring = self.endpoint_list.ready_ring()
         start = int(self.settings.instance_number * GOLDEN_RATIO % 1.0 * len(ring))
         self.ready_count = len(ring)
         self.size = self._wanted_size(now)
@@ -60,20 +56,6 @@
         coverage = min(self._base_size() / max(self.ready_count, 1), 1.0)
         self.sharing_instances = max(self.settings.instance_count * coverage, 1.0)
 
-    def _ring(self) -> list[EndpointState]:
-        """Return the ready endpoints in the order on which all instances agree, zones in proportion.
-
-        With half a subset from each zone, or gaps where endpoints were removed, the few of a small zone and
-        those behind a gap would bear a multiple of the others' load.
-        """
-        zones: dict[int, list[EndpointState]] = {}
-        for endpoint in sorted(self.endpoint_list.endpoints_by_id.values(), key=endpoint_id):
-            zone = zones.setdefault(endpoint.zone, [])
-            # Neighbours are far apart in the rotation: each subset has its part of the first ranks.
-            endpoint.rotation_rank = bit_reversed(len(zone), RANK_BITS)
-            zone.append(endpoint)
-        return interleave_in_proportion([[e for e in zones[zone] if e.is_ready] for zone in sorted(zones)])
-
     def _base_size(self) -> float:
         return max(MIN_SUBSET_SIZE, INSTANCES_PER_ENDPOINT * self.ready_count / self.settings.instance_count)
 
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -764,13 +764,13 @@
         s.limit = s.own_limit = 0 if s.id in part else 9
     d.now += 40.0  # short work has waited long enough for its part
     d.timer(QUEUE_TIMER)
-    assert {entry.request.class_index for entry in d.policies.queue.entries} == {1}
+    assert {entry.request.class_index for entry in d.policies.queue.waiting.entries} == {1}
     d.now += 360.0  # nor may long work go elsewhere after a fifth of its aim
     for send in sends(d.log):
         if send.endpoint not in part:  # idle and well
             d.outcome(send.id, 0, send.endpoint)
     assert not {send.endpoint for send in sends(d.timer(QUEUE_TIMER))} - part
-    assert {entry.request.class_index for entry in d.policies.queue.entries} == {1}
+    assert {entry.request.class_index for entry in d.policies.queue.waiting.entries} == {1}
 
 
 def test_where_many_share_a_server_peers_are_not_told() -> None:
@@ -842,7 +842,7 @@
     d.outcome(second.id, 0, second.endpoint)
     d.now += 600.0
     d.request(2)
-    assert d.policies.queue.key_queues == {}
+    assert d.policies.queue.key_queues.by_key == {}
 
 
 def test_an_answered_or_abandoned_request_blocks_its_key_until_its_attempt_is_told() -> None:
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -233,8 +233,8 @@
     assert sum(isinstance(a, Send) for actions in world.trace for a in actions) > 15
     # bounded memory: nothing is kept of requests long ended
     assert set(world.lb.requests.pending) <= set(world.attempts) | set(world.open)
-    assert len(world.lb.policies.queue.entries) <= len(world.open) + 50
-    waiting = {id(r) for queue in world.lb.policies.queue.key_queues.values() for r in queue.requests}
+    assert len(world.lb.policies.queue.waiting.entries) <= len(world.open) + 50
+    waiting = {id(r) for queue in world.lb.policies.queue.key_queues.by_key.values() for r in queue.requests}
     assert waiting <= {id(r) for r in world.lb.requests.pending.values()}
 
 
