--- a/alderspool/lab/emulator/http_server.py
+++ b/alderspool/lab/emulator/http_server.py
@@ -7,7 +7,7 @@
 
 import httptools
 
-from alderspool.protocol.http_parts import HttpMessageCollector
+from alderspool.protocol.http_parts import HttpFault, HttpMessageCollector
 
 BODY_LIMIT_BYTES = 64 * 1024
 READ_SIZE_BYTES = 64 * 1024
@@ -41,7 +41,7 @@
         try:
             self.feed(self._parser, data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self.fault = self.fault or (HTTPStatus.BAD_REQUEST, str(error))
+            self.fault = self.fault or HttpFault(HTTPStatus.BAD_REQUEST, str(error))
         complete = self._complete
         self._complete = []
         return complete
