--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -1,4 +1,4 @@
-"""One test with real sockets for each rule and each promise of the protocol."""
+"""The rules of the service and the guarantees of the protocol, tested on sockets."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
 
 async def dead() -> Party:
-    """A node whose connections are refused."""
+    """Return an endpoint that refuses connections."""
     party = Party("dead")
     await party.start()
     party.server.close()
@@ -24,61 +24,63 @@
     return party
 
 
-# ---- rule 1: one final answer, in time ------------------------------------------------------------
+# ---- rule 1: one final response, in time -----------------------------------------------------------------
 
 
 @real
 @pytest.mark.parametrize(("cls", "statuses"), [("pay", (502, 504)), ("put", (502, 504)), ("look", (503,))])
-async def test_a_silent_node_leaves_nothing_unanswered(cls: str, statuses: tuple[int, ...]) -> None:
+async def test_request_at_a_silent_endpoint_has_a_response_at_its_deadline(
+    cls: str, statuses: tuple[int, ...]
+) -> None:
     async with Rig(Party("s1", None)) as rig:
         started = time.monotonic()
         status, _, _ = await rig.ask(cls, wait=600)
-        assert status in statuses  # 503 would promise that it has not run
+        assert status in statuses  # 503 would state that it has not run
         assert time.monotonic() - started >= 0.55
         assert len(rig.endpoints[0].got) == 1
 
 
 @real
-async def test_a_hung_node_that_wakes_answers_nobody_any_more() -> None:
-    """What it then says to a request long over must not reach the next one that goes there."""
+async def test_late_response_of_a_hung_endpoint_is_not_given_to_another_request() -> None:
+    """Its response to an expired request must not reach the next request that is forwarded to it."""
     wake = asyncio.Event()
 
-    async def hung(party: Party) -> bytes:
+    async def hang_once(party: Party) -> bytes:
         name = party.got[-1][1]["x-request-id"].encode()
         if len(party.got) == 1:
             await wake.wait()
         return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(name), name)
 
-    async with Rig(Party("s1", hung)) as rig:
+    async with Rig(Party("s1", hang_once)) as rig:
         assert (await rig.ask("pay", wait=300, X_Request_Id="r-1"))[0] == 504
         wake.set()
-        answers = [await rig.ask("pay", X_Request_Id=f"r-{n}") for n in range(2, 6)]
-        assert [(status, body) for status, _, body in answers] == [(200, b"r-%d" % n) for n in range(2, 6)]
-        assert rig.endpoints[0].opened >= 2  # its first connection was given up with the request
+        responses = [await rig.ask("pay", X_Request_Id=f"r-{n}") for n in range(2, 6)]
+        assert [(status, body) for status, _, body in responses] == [(200, b"r-%d" % n) for n in range(2, 6)]
+        assert rig.endpoints[0].opened >= 2  # its first connection was closed with the request
 
 
 @real
-async def test_after_a_pause_of_three_seconds_what_is_due_is_answered_and_what_came_is_served() -> None:
+async def test_after_a_pause_expired_requests_have_a_response_and_new_ones_are_served() -> None:
     async with Rig(Party("s1", None), Party("s2")) as rig:
-        due = asyncio.create_task(rig.ask("pay", wait=1000))
+        expiring = asyncio.create_task(rig.ask("pay", wait=1000))
         while not rig.endpoints[0].got:
-            if due.done():  # it went to the other one
-                due = asyncio.create_task(rig.ask("pay", wait=1000))
+            if expiring.done():  # it was forwarded to the other endpoint
+                expiring = asyncio.create_task(rig.ask("pay", wait=1000))
             await asyncio.sleep(0.005)
         rig.proxy.send_signal(signal.SIGSTOP)
-        came = [asyncio.create_task(rig.ask("look", wait=20000)) for _ in range(4)]
+        received_in_pause = [asyncio.create_task(rig.ask("look", wait=20000)) for _ in range(4)]
         await asyncio.sleep(3.0)
         rig.proxy.send_signal(signal.SIGCONT)
-        assert (await due)[0] == 504
-        assert {(await answer)[0] for answer in came} == {200}
+        assert (await expiring)[0] == 504
+        assert {(await response)[0] for response in received_in_pause} == {200}
 
 
 @real
-async def test_a_thousand_nodes_of_zones_types_and_groups_that_nobody_named_are_all_used() -> None:
-    """1,024 lines, at 8 machines; the list comes anew, whole, and with a change."""
+async def test_uses_all_of_a_thousand_endpoints_of_unknown_zones_types_and_groups() -> None:
+    """1,024 endpoints at 8 addresses; first in a complete list, then in a list of changes."""
     parties = [Party(f"m{n}") for n in range(8)]
 
-    def lines(status: str = "ready", share: int = 8) -> list[dict]:
+    def entries(status: str = "ready", share: int = 8) -> list[dict]:
         return [
             parties[n % 8].entry(
                 name=f"s{n}", zone=f"z{n % 41}", type=f"t{n % 19}", group=n // 5, status=status
@@ -88,11 +90,11 @@
         ]
 
     async with Rig(*parties) as rig:
-        rig.tell(*lines(), index=5, snapshot=True)
+        rig.tell(*entries(), index=5, snapshot=True)
         await rig.asked(2)
         assert {(await rig.ask("pay"))[0] for _ in range(600)} == {200}
-        assert sum(p.opened for p in parties) > 550  # each went to another node than those before
-        rig.tell(*lines("draining", 7), index=6)
+        assert sum(p.opened for p in parties) > 550  # each request used another endpoint than those before
+        rig.tell(*entries("draining", 7), index=6)
         await rig.asked(3)
         before = [len(p.got) for p in parties]
         assert {(await rig.ask("pay"))[0] for _ in range(50)} == {200}
@@ -100,8 +102,8 @@
 
 
 @real
-async def test_with_no_node_the_refusal_comes_at_once_not_at_the_deadline() -> None:
-    """Also without Retry-After: the settings do not let clients be given one."""
+async def test_rejects_at_once_without_endpoints() -> None:
+    """Without Retry-After too, as the settings do not allow it."""
     async with Rig() as rig:
         started = time.monotonic()
         status, headers, _ = await rig.ask("look", wait=20000)
@@ -110,7 +112,7 @@
 
 
 @real
-async def test_a_refusal_says_when_to_come_back_where_the_settings_allow_it() -> None:
+async def test_rejection_has_retry_after_where_the_settings_allow_it() -> None:
     bounds = {"bounds": {"retry_after": True, "max_retry_after_ms": 250.0}}
     async with Rig(settings=bounds) as rig:
         status, headers, _ = await rig.ask("pay", wait=20000)
@@ -118,7 +120,7 @@
 
 
 @real
-async def test_a_client_that_goes_away_ends_its_attempt() -> None:
+async def test_client_disconnect_cancels_the_attempt() -> None:
     async with Rig(Party("s1", None), settings={"bounds": {"cancel": True, "may_duplicate": True}}) as rig:
         _, writer = await asyncio.open_connection("127.0.0.1", rig.port)
         writer.write(request("pay", 20000))
@@ -129,28 +131,28 @@
 
 
 @real
-async def test_sigterm_finishes_what_was_taken_and_exits_in_peace() -> None:
+async def test_sigterm_completes_pending_requests_and_exits_with_zero() -> None:
     release = asyncio.Event()
 
-    async def late(party: Party) -> bytes:
+    async def respond_late(party: Party) -> bytes:
         await release.wait()
         return OK
 
-    async with Rig(Party("s1", late)) as rig:
+    async with Rig(Party("s1", respond_late)) as rig:
         first = asyncio.create_task(rig.ask("pay"))
         while not rig.endpoints[0].got:
             await asyncio.sleep(0.005)
         rig.proxy.send_signal(signal.SIGTERM)
-        second = asyncio.create_task(rig.ask("pay"))  # new ones are taken still
+        second = asyncio.create_task(rig.ask("pay"))  # new requests are still accepted
         while len(rig.endpoints[0].got) < 2 or await rig.ready():
             await asyncio.sleep(0.005)
         release.set()
-        for answer in (await first, await second):
-            assert (answer[0], answer[1]["connection"], answer[2]) == (200, "close", b"done")
+        for status, headers, body in (await first, await second):
+            assert (status, headers["connection"], body) == (200, "close", b"done")
         assert await rig.proxy.wait() == 0
 
 
-# ---- rule 2: no effect twice, and no refusal of what may have run ---------------------------------------
+# ---- rule 2: nothing runs twice, and no rejection of what may have run -----------------------------------
 
 
 @real
@@ -160,17 +162,19 @@
         (OK, (200,), 1),
         (b"", (502,), 1),  # ended after the last byte: it may have run
         (ERROR, (502,), 1),
-        (BARE_503, (502,), 1),  # without the node's word nothing is proved
+        (BARE_503, (502,), 1),  # only the endpoint's own statement proves that it has not run
         (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\nConnection: close\r\n\r\nhalf", (502,), 1),
         (b"\x00\xffrubbish, not HTTP\r\n\r\nConnection: close", (502,), 1),
-        (b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\ndone", (200,), 1),  # whole as the stream ends
+        (b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\ndone", (200,), 1),  # complete as the stream ends
         (b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + b"x" * 70000, (502,), 1),
-        (CHUNKED + b"4\r\nhalf\r\n", (502,), 1),  # an end is no end where a length was promised
+        (CHUNKED + b"4\r\nhalf\r\n", (502,), 1),  # the end of the stream does not complete a chunked body
         (b"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\nConnection: close\r\n\r\n" + b"x" * 70000, (502,), 1),
-        (NOT_RUN, (503,), 2),  # it never ran: another node, then a refusal
+        (NOT_RUN, (503,), 2),  # it never ran: a retry elsewhere, then a rejection
     ],
 )
-async def test_what_must_not_run_twice(reply: bytes, statuses: tuple[int, ...], attempts: int) -> None:
+async def test_non_idempotent_request_is_not_retried_after_it_may_have_run(
+    reply: bytes, statuses: tuple[int, ...], attempts: int
+) -> None:
     async with Rig(Party("s1", reply), Party("s2", reply)) as rig:
         status, _, body = await rig.ask("pay", wait=900)
         assert status in statuses
@@ -180,48 +184,48 @@
 
 
 @real
-async def test_a_refused_connection_proves_that_it_never_ran() -> None:
+async def test_retries_non_idempotent_request_after_connection_refused() -> None:
     async with Rig(await dead(), Party("s2"), Party("s3")) as rig:
         assert [(await rig.ask("pay"))[0] for _ in range(6)] == [200] * 6
 
 
 @real
-async def test_a_keyed_request_that_may_have_run_stays_in_its_group() -> None:
-    """`a` ends connections unanswered; only its group may be tried again."""
+async def test_retry_of_keyed_request_stays_in_its_deduplication_group() -> None:
+    """`a` ends its connections without a response; only endpoints of its group may get the retry."""
     endpoints = [Party("a", b"", group=1), Party("b", group=1), Party("c", b"", group=2), Party("d", group=2)]
     async with Rig(*endpoints) as rig:
-        for _ in range(8):
-            mine = f"k{_}"
-            await rig.ask("put", Idempotency_Key=mine)
-            used = {n.line["group"] for n in endpoints for got in n.got if got[1]["idempotency-key"] == mine}
-            assert len(used) == 1
+        for number in range(8):
+            key = f"k{number}"
+            await rig.ask("put", Idempotency_Key=key)
+            groups = {e.line["group"] for e in endpoints for got in e.got if got[1]["idempotency-key"] == key}
+            assert len(groups) == 1
         assert endpoints[1].got or endpoints[3].got
 
 
 @real
-async def test_an_id_that_is_open_here_is_turned_away_and_reaches_no_node() -> None:
+async def test_rejects_duplicate_request_id() -> None:
     release = asyncio.Event()
 
-    async def late(party: Party) -> bytes:
+    async def respond_late(party: Party) -> bytes:
         await release.wait()
         return OK
 
-    async with Rig(Party("s1", late)) as rig:
+    async with Rig(Party("s1", respond_late)) as rig:
         first = asyncio.create_task(rig.ask("pay", X_Request_Id="r-1"))
         while not rig.endpoints[0].got:
             await asyncio.sleep(0.005)
         assert (await rig.ask("look", X_Request_Id="r-1"))[0] == 400
         release.set()
         assert (await first)[0] == 200 and len(rig.endpoints[0].got) == 1
-        assert (await rig.ask("look", X_Request_Id="r-1"))[0] == 200  # open no longer
+        assert (await rig.ask("look", X_Request_Id="r-1"))[0] == 200  # no longer pending
 
 
-# ---- rule 3: drains are kept ------------------------------------------------------------------------------
+# ---- rule 3: draining endpoints --------------------------------------------------------------------------
 
 
 @real
 @pytest.mark.parametrize("state", ["draining", "gone", "missing"])
-async def test_a_node_that_drains_gets_nothing_more(state: str) -> None:
+async def test_forwards_nothing_to_a_draining_endpoint(state: str) -> None:
     async with Rig(Party("s1"), Party("s2")) as rig:
         await asyncio.gather(*(rig.ask() for _ in range(8)))
         one, two = rig.endpoints
@@ -231,7 +235,7 @@
             rig.tell(two.entry(), snapshot=True)
         else:
             rig.tell(one.entry(status=state))
-        await rig.asked(2)  # it asks for more, so it has read what it was told
+        await rig.asked(2)  # it polls again, so it has read the update
         before = len(one.got)
         assert [(await rig.ask())[0] for _ in range(6)] == [200] * 6
         assert len(one.got) == before
@@ -242,25 +246,25 @@
     "failure",
     [b'HTTP/1.1 200 OK\r\nContent-Length: 15\r\n\r\n{"index":"what"', BARE_503, b"", b"rubbish\r\n\r\n"],
 )
-async def test_the_watch_goes_on_at_once_and_a_failed_call_leaves_the_old_list(failure: bytes) -> None:
+async def test_watch_continues_at_once_and_a_failed_call_keeps_the_old_list(failure: bytes) -> None:
     async with Rig(Party("s1")) as rig:
         gaps = []
         for index in range(5, 8):
             await rig.asked(index - 4)
             rig.tell(rig.endpoints[0].entry(), index=index)
-            told = time.monotonic()
+            sent_s = time.monotonic()
             await rig.asked(index - 3)
-            gaps.append(rig.calls[-1] - told)
-        assert min(gaps) < 0.2  # the best: a busy machine must not change the verdict
+            gaps.append(rig.calls[-1] - sent_s)
+        assert min(gaps) < 0.2  # the best: a busy system must not change the verdict
         assert b"since=7&" in rig.discovery.got[-1][0]
         rig.tell_raw(failure)
-        await rig.asked(5)  # after a wait of its own
+        await rig.asked(5)  # after the backoff of a failed call
         assert b"since=7&" in rig.discovery.got[-1][0]
         assert (await rig.ask())[0] == 200
 
 
 @real
-async def test_ready_only_once_it_can_serve() -> None:
+async def test_is_ready_only_once_it_can_serve() -> None:
     endpoint = Party("s1")
     await endpoint.start()
     async with Rig() as rig:
@@ -272,48 +276,49 @@
     endpoint.server.close()
 
 
-# ---- rule 4: a cold node is not pushed over ---------------------------------------------------------------
+# ---- rule 4: slow start of a new endpoint ----------------------------------------------------------------
 
 
 @real
-async def test_a_node_that_has_just_started_gets_less() -> None:
-    # The budget alone leaves it a fifth, whatever the machine makes of either node's speed figure.
+async def test_endpoint_in_slow_start_gets_fewer_requests() -> None:
+    # The warm-up factor alone leaves it a fifth, whatever speed is measured for either endpoint.
     rules = SETTINGS["rules"] | {"cold_from": 0.1, "cold_ms": 200_000.0}
-    cold, warm = Party("s1", since_ms=time.time() * 1000.0), Party("s2")
-    async with Rig(cold, warm, settings={"rules": rules}) as rig:
-        while len(warm.got) < 30:  # a machine that stalls has some refused, which tells nothing here
+    starting, started = Party("s1", since_ms=time.time() * 1000.0), Party("s2")
+    async with Rig(starting, started, settings={"rules": rules}) as rig:
+        while len(started.got) < 30:  # on a busy system some are rejected, which does not matter here
             await rig.ask()
-        assert len(cold.got) < len(warm.got) / 2
+        assert len(starting.got) < len(started.got) / 2
 
 
 # ---- the protocol ------------------------------------------------------------------------------------
 
 
 @real
-async def test_a_request_passes_through_unchanged() -> None:
+async def test_forwards_request_unchanged() -> None:
     async with Rig(Party("s1")) as rig:
         sent = request("put", 5000, b"\x00body", X_Request_Id="r-77", Connection="keep-alive")
         status, headers, body = await rig.raw(sent)
         assert (status, body) == (200, b"done") and "connection" not in headers
-        line, got, passed = rig.endpoints[0].got[0]
-        assert (line, passed) == (b"POST /put/7f3a?x=1 HTTP/1.1", b"\x00body")
-        assert (got["x-request-id"], got["idempotency-key"]) == ("r-77", "k1")
-        assert 0 < int(got["x-deadline-ms"]) <= 5000 and "connection" not in got
+        line, headers_received, body_received = rig.endpoints[0].got[0]
+        assert (line, body_received) == (b"POST /put/7f3a?x=1 HTTP/1.1", b"\x00body")
+        assert (headers_received["x-request-id"], headers_received["idempotency-key"]) == ("r-77", "k1")
+        assert 0 < int(headers_received["x-deadline-ms"]) <= 5000
+        assert "connection" not in headers_received
 
 
 @real
-async def test_connections_are_reused_on_both_sides() -> None:
+async def test_reuses_connections_on_both_sides() -> None:
     async with Rig(Party("s1")) as rig:
         reader, writer = await asyncio.open_connection("127.0.0.1", rig.port)
         for _ in range(3):
             writer.write(request())
             assert (await reader.readuntil(b"done")).startswith(b"HTTP/1.1 200")
-            await asyncio.sleep(0.02)  # a node's connection rests a moment
+            await asyncio.sleep(0.02)  # the upstream connection becomes idle
         assert rig.endpoints[0].opened == 1
 
 
 @real
-async def test_a_node_that_closes_an_idle_connection_costs_no_request() -> None:
+async def test_endpoint_that_closes_connections_costs_no_request() -> None:
     async with Rig(
         Party("s1", OK[:-4].replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n") + b"done")
     ) as rig:
@@ -322,17 +327,19 @@
 
 
 @real
-async def test_an_idle_connection_is_closed_well_before_the_node_would() -> None:
+async def test_closes_idle_upstream_connection_before_the_endpoint_would() -> None:
     async with Rig(Party("s1"), settings={"bounds": {"conn_idle_ms": 1000.0}}) as rig:
         assert (await rig.ask("pay"))[0] == 200
-        await rig.endpoints[0].ended.wait()  # the node itself closes nothing
+        await rig.endpoints[0].ended.wait()  # the endpoint itself closes nothing
         assert (await rig.ask("pay"))[0] == 200
         assert rig.endpoints[0].opened == 2
 
 
 @real
-async def test_a_connection_that_never_comes_up_is_given_up_after_the_dial_time_out() -> None:
-    full = socket.create_server(("127.0.0.1", 0), backlog=0)  # its queue filled, it answers no more
+async def test_connect_timeout_leads_to_a_retry_elsewhere() -> None:
+    full = socket.create_server(
+        ("127.0.0.1", 0), backlog=0
+    )  # once its accept queue is full, it accepts no more
     fillers = [socket.socket() for _ in range(8)]
     for filler in fillers:
         filler.setblocking(False)
@@ -348,7 +355,7 @@
 
 
 @real
-async def test_bad_input_is_answered_and_reaches_nobody() -> None:
+async def test_invalid_input_has_an_error_response_and_is_not_forwarded() -> None:
     async with Rig(Party("s1")) as rig:
         assert (await rig.raw(b"not HTTP at all\r\n\r\n"))[0] == 400
         assert (await rig.raw(b"GET /elsewhere HTTP/1.1\r\nHost: x\r\n\r\n"))[0] == 404
--- a/tests/test_race_rows.py
+++ b/tests/test_race_rows.py
@@ -3,7 +3,8 @@
 One row has no test: the end of a connection behind more bytes than our system buffers. A client sends 75,000
 bytes and closes; our socket receives 16 KiB and closes its receive window, so the FIN stays in the client's
 kernel behind bytes that it may not send. No packet has notified our system of the close: no read, poll or
-TCP_INFO here differs from that of a client that is still connected. A test could only assert that it cannot be seen.
+TCP_INFO here differs from that of a client that is still connected. A test could only assert that there is no
+difference.
 """
 
 from __future__ import annotations
