--- a/tests/test_race_rows.py
+++ b/tests/test_race_rows.py
@@ -1,9 +1,10 @@
-"""Rows of docs/crossings.md that had no test: two events in a forced order, on sockets.
+"""Further rows of docs/races.md: two events in a forced order, on sockets.
 
-One row stays without a test: "the end lies behind more than our machine buffers". A client sends 75,000 bytes
-and closes; our socket takes in 16 KiB and closes its receive window, so the FIN stays in the client's kernel
-behind bytes that it may not send. No packet has told our machine of the close: no read, poll or TCP_INFO of
-ours differs from that of a client that is still there. A test could only assert that nothing can be seen.
+One row has no test: the end of a connection behind more bytes than our system buffers. A client sends 75,000
+bytes and closes; our socket receives 16 KiB and closes its receive window, so the FIN stays in the client's
+kernel behind bytes that it may not send. No packet has notified our system of the close: no read, poll or
+TCP_INFO here differs from that of a client that is still connected. A test could only assert that there is no
+difference.
 """
 
 from __future__ import annotations
@@ -22,7 +23,7 @@
 from alderspool.balancer.settings import RequestClass, Settings
 from alderspool.protocol.upstream import ForwardedRequest
 from alderspool.routing.messages import Attempt
-from alderspool.transport import listener as listener_module
+from alderspool.transport import connection_table, lingering_close
 from alderspool.transport import upstream_pool as pool_module
 from alderspool.transport.descriptor_budget import DescriptorBudget
 from alderspool.transport.upstream_pool import UpstreamPool
@@ -48,9 +49,10 @@
 
 @real
 async def test_a_lingering_close_ends_after_256_kib(monkeypatch: pytest.MonkeyPatch) -> None:
-    """The client has its last response and goes on sending. No timeout of the listener can end it first."""
-    monkeypatch.setattr(listener_module, "LINGER_S", 3600.0)
-    monkeypatch.setattr(listener_module, "PATIENCE_S", 3600.0)
+    """The client has its last response and continues to send. No timeout of the proxy can end it first."""
+    monkeypatch.setattr(lingering_close, "LINGER_TIMEOUT_S", 3600.0)
+    monkeypatch.setattr(lingering_close, "UNREAD_RESPONSE_TIMEOUT_S", 3600.0)
+    monkeypatch.setattr(connection_table, "IDLE_TIMEOUT_S", 3600.0)
     proxy = InProcessListener(100)
     reader, writer = await open_with_small_buffers(proxy.port)
     writer.write(LAST_REQUEST)
@@ -58,16 +60,18 @@
     assert await reader.read() == b""
     sent_bytes = 0
     with pytest.raises(ConnectionError):
-        while sent_bytes < 4 * listener_module.LINGER_BYTES:
+        while sent_bytes < 4 * lingering_close.LINGER_LIMIT_BYTES:
             writer.write(b"x" * CHUNK_BYTES)
             sent_bytes += CHUNK_BYTES
             await writer.drain()
-    assert listener_module.LINGER_BYTES < sent_bytes < listener_module.LINGER_BYTES + IN_FLIGHT_BYTES
+    assert (
+        lingering_close.LINGER_LIMIT_BYTES < sent_bytes < lingering_close.LINGER_LIMIT_BYTES + IN_FLIGHT_BYTES
+    )
     await proxy.close()
 
 
 def statuses_of(stream: bytes) -> list[bytes]:
-    """Of the responses in it, each of which has to be complete."""
+    """Return the statuses of the responses in a stream, each of which has to be complete."""
     statuses = []
     while stream:
         head, _, stream = stream.partition(b"\r\n\r\n")
@@ -80,9 +84,12 @@
 
 @real
 async def test_responses_that_are_still_being_sent_delay_the_exit() -> None:
-    """More responses wait for their client to read than the kernel buffers. It begins to read after the last
-    moment at which the proxy has pending requests, as another client's request at a silent endpoint is over.
-    Each response that has begun arrives complete, and the connection ends without a reset."""
+    """A client has not read more responses than the kernel buffers.
+
+    It begins to read once the proxy has no more pending requests, when another client's request at a silent
+    endpoint has timed out. Each response that has begun arrives complete, and the connection ends without a
+    reset.
+    """
     body = b"x" * 65000
     response = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
 
@@ -108,24 +115,24 @@
 
 
 class AcceptingExchange:
-    """What ExecuteNodePool needs of an exchange: each attempt may be written, and its end is counted."""
+    """What UpstreamPool needs of an exchange: each attempt may be written, and its end is counted."""
 
     def __init__(self) -> None:
         self.ended = 0
 
-    def may_write(self, claim: Attempt) -> bool:
+    def may_write(self, attempt: Attempt) -> bool:
         return True
 
-    def time_left_ms(self, claim: Attempt) -> float:
+    def time_left_ms(self, attempt: Attempt) -> float:
         return 1000.0
 
-    def attempt_ended(self, claim: Attempt, status: AttemptStatus, payload: object = None) -> None:
+    def attempt_ended(self, attempt: Attempt, status: AttemptStatus, payload: object = None) -> None:
         assert status == AttemptStatus.OK
         self.ended += 1
 
 
 def open_connections_to(*ports: int) -> int:
-    """Client sockets that are being connected or are open, as the kernel lists them."""
+    """Count the client sockets that are being connected or are open, as the kernel lists them."""
     states = []
     for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
         _, _, remote, state, *_ = line.split()
@@ -139,8 +146,11 @@
 async def test_dials_that_evict_idle_connections_stay_within_the_budget(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """All of the budget is held by idle connections to one endpoint, as many attempts for another come in one
-    turn of the event loop. The sockets are counted at each dial, before it opens its own."""
+    """Idle connections to one endpoint use up the budget as attempts for another one come in.
+
+    All of these come in one iteration of the event loop. The sockets are counted at each dial, before it
+    opens its own.
+    """
     limit = 8
     old, new = Party("s1"), Party("s2")
     await old.start()
