--- a/alderspool/balancer/concurrency_limit.py
+++ b/alderspool/balancer/concurrency_limit.py
@@ -71,10 +71,9 @@
             is_slow = latency_ms > SLOW_SHARE_OF_OBJECTIVE * objective_ms
             self.work.add(work, is_slow, latency_ms > objective_ms)
 
-    def record_success(self, endpoint: EndpointState, latency_ratio: float) -> None:
-        """Take in the latency of a served attempt over the typical one."""
-        if endpoint is self.active_endpoint:
-            self.active_latency_ratio += (latency_ratio - self.active_latency_ratio) * RELIEF_GAIN
+    def record_active(self, latency_ratio: float) -> None:
+        """Take in the latency over the typical one of an attempt that the active endpoint served."""
+        self.active_latency_ratio += (latency_ratio - self.active_latency_ratio) * RELIEF_GAIN
 
     def set_endpoint_limits(self, endpoints: Endpoints, mean_size: float) -> None:
         """Give each endpoint its limit by its size, and this instance its part of it."""
--- a/alderspool/balancer/endpoint.py
+++ b/alderspool/balancer/endpoint.py
@@ -190,11 +190,10 @@
 
     def halve_circuit_failures(self, keys: CircuitKeys) -> None:
         """Halve the failures of these circuits; one that failed once is forgotten."""
-        if self.circuits:
-            for key in keys:
-                circuit = self.circuits.pop(key, None)
-                if circuit is not None and circuit.failures > 1:
-                    self.circuits[key] = circuit._replace(failures=circuit.failures // 2)
+        for key in keys:
+            circuit = self.circuits.pop(key, None)
+            if circuit is not None and circuit.failures > 1:
+                self.circuits[key] = circuit._replace(failures=circuit.failures // 2)
 
     def set_peer_load(self, peer: int, in_flight: int) -> None:
         """Take over what a peer reports to have open here."""
--- a/alderspool/balancer/outlier_detection.py
+++ b/alderspool/balancer/outlier_detection.py
@@ -49,7 +49,8 @@
 
     def record_success(self, endpoint: EndpointState, request: RequestState) -> None:
         """End the back-off; halve the failures of circuits: a rate-limited kind is served now and then."""
-        endpoint.halve_circuit_failures(request.circuit_keys)
+        if endpoint.circuits:
+            endpoint.halve_circuit_failures(request.circuit_keys)
         endpoint.consecutive_failures = 0
 
     def record_failure(
--- a/alderspool/balancer/refresh.py
+++ b/alderspool/balancer/refresh.py
@@ -8,7 +8,12 @@
 from alderspool.balancer.load_reports import PEER_SILENCE_MS
 from alderspool.balancer.outlier_detection import is_outlier
 from alderspool.balancer.policies import Policies
-from alderspool.balancer.schedule import MAX_ELAPSED_MS, MIN_ELAPSED_MS, is_refresh_due
+from alderspool.balancer.schedule import (
+    MAX_ELAPSED_MS,
+    MIN_ELAPSED_MS,
+    REFRESH_INTERVAL_MS,
+    is_refresh_due,
+)
 from alderspool.balancer.settings import Settings
 
 
@@ -22,7 +27,10 @@
 
     def is_due(self, now: float) -> bool:
         """Whether enough time and traffic have passed since the last one."""
-        return is_refresh_due(now - self.last_at, self._policies.latency.arrivals.since_refresh)
+        age_ms = now - self.last_at
+        if age_ms < REFRESH_INTERVAL_MS:
+            return False
+        return is_refresh_due(age_ms, self._policies.latency.arrivals.since_refresh)
 
     def reselect(self, now: float) -> None:
         """Select the subset anew, with all that depends on how many instances share it."""
--- a/alderspool/balancer/request_dispatch.py
+++ b/alderspool/balancer/request_dispatch.py
@@ -51,14 +51,16 @@
             self.check_key_turn(request)
         else:
             self._give_up(request)
-        self.dispatch_queued()
+        if self._queue.waiting.entries:
+            self.dispatch_queued()
 
     def finish_attempt(self, event: Outcome) -> None:
         """Learn from an outcome, and finish, retry or give up its request."""
         request = self._end_attempt(event)
         if request is not None:
             self._settle(request, event)
-        self.dispatch_queued()
+        if self._queue.waiting.entries:
+            self.dispatch_queued()
 
     def hedge(self, request_id: int) -> None:
         """Send a hedge, if the request still has its one attempt open and may have another."""
@@ -144,7 +146,7 @@
         self._set_queue_timer()
 
     def _set_queue_timer(self) -> None:
-        if self._queue.waiting.entries and not self._queue.is_timer_set:
+        if not self._queue.is_timer_set and self._queue.waiting.entries:
             self._queue.is_timer_set = True
             self.actions.append(SetTimer(timer_token(TimerKind.QUEUE), CHECK_INTERVAL_MS))
 
@@ -222,7 +224,8 @@
         policies.outliers.record_success(endpoint, request)
         endpoint.served_by_class[traffic_class] += 1.0
         endpoint.busy_ms_by_class[traffic_class] += latency_ms
-        policies.limit.record_success(endpoint, latency_ms / policies.latency.typical_ms[traffic_class])
+        if endpoint is policies.limit.active_endpoint:
+            policies.limit.record_active(latency_ms / policies.latency.typical_ms[traffic_class])
         policies.latency.record_response(traffic_class, latency_ms)
         if endpoint.is_process_lost:
             endpoint.restart(self.now)
--- a/alderspool/balancer/request_state.py
+++ b/alderspool/balancer/request_state.py
@@ -83,16 +83,18 @@
         "tried_endpoints",
     )
 
+    # Set by the admission queue as soon as it has the record.
+    respond_by: float  # the last moment for a final response of the balancer's own
+    objective_at: float
+    queue_until: float  # sent later it would hardly meet its latency objective
+    isolated_until: float  # until then it keeps to its part of the fleet
+
     def __init__(self, request: Request, traffic_class: int, deadline: float) -> None:
         self.id = request.id
         self.class_index = request.cls  # into Settings.classes
         self.traffic_class = traffic_class  # the same, or its part by cost where there is one class
         self.circuit_keys: CircuitKeys = circuit_keys(traffic_class, request.tenant)
         self.deadline = deadline
-        self.respond_by = deadline  # the last moment for a final response of the balancer's own
-        self.objective_at = deadline
-        self.queue_until = deadline  # sent later it would hardly meet its latency objective
-        self.isolated_until = deadline  # until then it keeps to its part of the fleet
         self.rank = QueueRank.IN_TIME
         self.attempts: list[Attempt | None] = []  # None: ended
         self.tried_endpoints: list[EndpointId] = []
--- a/alderspool/balancer/rotation.py
+++ b/alderspool/balancer/rotation.py
@@ -106,11 +106,36 @@
 
     def pick(self, request: RequestState, now: float, total_in_flight: int) -> EndpointState | None:
         """Return the next endpoint of the rotation for this request; None: none has capacity for it."""
+        traffic_class = request.traffic_class
+        latency = self.latency
+        min_tokens = min(latency.typical_ms[traffic_class] / latency.mean_typical_ms, 1.0)
+        is_long = self.isolation.is_long[traffic_class]
+        is_isolated = self.isolation.is_active and (is_long or now < request.isolated_until)
+        endpoints = self.subset.selected
+        tried = request.tried_endpoints if len(request.tried_endpoints) < len(endpoints) else ()
+        is_bound = request.may_have_run or request.open_attempts > 0
+        available = [
+            endpoint
+            for endpoint in endpoints
+            if endpoint.weight > 0.0
+            # Attempts that are written off take no capacity: what swallows some work is not full of it.
+            and (
+                endpoint.in_flight - endpoint.written_off < endpoint.own_limit
+                or endpoint.in_flight - endpoint.written_off + endpoint.peer_in_flight < endpoint.limit
+            )
+            and (not is_isolated or endpoint.serves_long_work == is_long)
+            and endpoint.blocked_until <= now
+            and (endpoint.cold_rate == inf or endpoint.cold_tokens >= min_tokens)
+            # Stalled: pauses and hangs show as silence long before a time-out.
+            and (not endpoint.in_flight or now - endpoint.silent_since <= endpoint.stall_timeout_ms)
+            and endpoint.id not in tried
+            and (not is_bound or self.rules.is_in_scope(request, endpoint, now))
+        ]
         best = fallback = None
         best_weight = fallback_weight = -inf
         total = 0.0
         prefers_open = self.connections.connect_failure_share > CONNECT_FAILURES_HIGH
-        for endpoint in self._available(request, now):
+        for endpoint in available:
             current_weight = endpoint.current_weight + endpoint.weight
             if endpoint.circuits and endpoint.has_open_circuit(request.circuit_keys, now):
                 if now >= request.isolated_until:  # it has waited: better than none
@@ -119,11 +144,10 @@
                         fallback = endpoint
                         fallback_weight = current_weight
                 continue
-            in_flight = endpoint.in_flight
-            fair = 1.0 + endpoint.fair_share * total_in_flight
             # It has far more than its share, or needs a new connection where these often fail: passed over.
-            needs_connection = in_flight >= endpoint.connections
-            if in_flight - endpoint.written_off > fair or (prefers_open and needs_connection):
+            counted = endpoint.in_flight - endpoint.written_off
+            is_over_share = counted > 1.0 + endpoint.fair_share * total_in_flight
+            if is_over_share or (prefers_open and endpoint.in_flight >= endpoint.connections):
                 if current_weight > fallback_weight:
                     fallback = endpoint
                     fallback_weight = current_weight
@@ -137,31 +161,3 @@
             return fallback
         best.current_weight -= total
         return best
-
-    def _available(self, request: RequestState, now: float) -> list[EndpointState]:
-        """Return the endpoints that may get an attempt of the request now."""
-        traffic_class = request.traffic_class
-        min_tokens = min(self.latency.typical_ms[traffic_class] / self.latency.mean_typical_ms, 1.0)
-        is_long = self.isolation.is_long[traffic_class]
-        is_isolated = self.isolation.is_active and (is_long or now < request.isolated_until)
-        endpoints = self.subset.selected
-        tried = request.tried_endpoints if len(request.tried_endpoints) < len(endpoints) else ()
-        is_bound = request.may_have_run or request.open_attempts > 0
-        available = []
-        for endpoint in endpoints:
-            in_flight = endpoint.in_flight
-            counted = in_flight - endpoint.written_off  # what swallows some of its work is not full of it
-            if endpoint.weight <= 0.0 or endpoint.blocked_until > now:
-                continue
-            if counted >= endpoint.own_limit and counted + endpoint.peer_in_flight >= endpoint.limit:
-                continue
-            if is_isolated and endpoint.serves_long_work != is_long:
-                continue
-            if endpoint.cold_tokens < min_tokens and endpoint.cold_rate < inf:
-                continue
-            if in_flight and now - endpoint.silent_since > endpoint.stall_timeout_ms:
-                continue  # stalled: pauses and hangs show as silence long before a time-out
-            if endpoint.id in tried or (is_bound and not self.rules.is_in_scope(request, endpoint, now)):
-                continue
-            available.append(endpoint)
-        return available
--- a/alderspool/balancer/schedule.py
+++ b/alderspool/balancer/schedule.py
@@ -12,9 +12,7 @@
 
 
 def is_refresh_due(age_ms: float, arrived_work: float) -> bool:
-    """Whether enough time and traffic have passed since the last refresh."""
-    if age_ms < REFRESH_INTERVAL_MS:
-        return False
+    """Whether the traffic since the last refresh, at least one interval ago, is enough for the next."""
     return arrived_work >= MIN_REFRESH_REQUESTS or age_ms >= MAX_REFRESH_INTERVAL_MS
 
 
