--- a/alderspool/balancer/admission_queue.py
+++ b/alderspool/balancer/admission_queue.py
@@ -56,7 +56,7 @@
         request.isolated_until = now + ISOLATED_SHARE_OF_OBJECTIVE * objective_ms
         margin_ms = RESPONSE_MARGIN_CLOCK_STEPS * self._settings.clock_step_ms
         request.respond_by = request.deadline - CHECK_INTERVAL_MS - margin_ms
-        if self._is_over_quota(event.tenant):
+        if self._settings.tenants and self._is_over_quota(event.tenant):
             request.rank = QueueRank.OVER_QUOTA
         return request
 
--- a/alderspool/balancer/concurrency_limit.py
+++ b/alderspool/balancer/concurrency_limit.py
@@ -68,8 +68,11 @@
     def record_end(self, status: int, work: float, latency_ms: float, objective_ms: float) -> None:
         """Take in how an attempt at a warm endpoint ended: a cold one is slow at any load."""
         if status in (AttemptStatus.OK, AttemptStatus.TIMEOUT):
-            is_slow = latency_ms > SLOW_SHARE_OF_OBJECTIVE * objective_ms
-            self.work.add(work, is_slow, latency_ms > objective_ms)
+            self.work.ended += work
+            if latency_ms > SLOW_SHARE_OF_OBJECTIVE * objective_ms:
+                self.work.slow += work
+            if latency_ms > objective_ms:
+                self.work.late += work
 
     def record_active(self, latency_ratio: float) -> None:
         """Take in the latency over the typical one of an attempt that the active endpoint served."""
--- a/alderspool/balancer/containers.py
+++ b/alderspool/balancer/containers.py
@@ -8,24 +8,6 @@
 Item = TypeVar("Item")
 
 
-class TokenBucket:
-    """Tokens up to a capacity. A withdrawal may take the balance below zero; the caller checks first."""
-
-    __slots__ = ("capacity", "tokens")
-
-    def __init__(self, capacity: float, tokens: float) -> None:
-        self.capacity = capacity
-        self.tokens = tokens
-
-    def deposit(self, amount: float) -> None:
-        """Add tokens; what exceeds the capacity is lost."""
-        self.tokens = min(self.tokens + amount, self.capacity)
-
-    def withdraw(self, amount: float) -> None:
-        """Take tokens."""
-        self.tokens -= amount
-
-
 class SlidingWindowCount:
     """Counts events of the recent past. Times never run backwards."""
 
--- a/alderspool/balancer/moving_averages.py
+++ b/alderspool/balancer/moving_averages.py
@@ -63,14 +63,6 @@
     slow: float = 0.0
     late: float = 0.0
 
-    def add(self, work: float, is_slow: bool, is_late: bool) -> None:
-        """Add work that ended."""
-        self.ended += work
-        if is_slow:
-            self.slow += work
-        if is_late:
-            self.late += work
-
     def fade(self, factor: float) -> None:
         """Multiply all by the factor."""
         self.ended *= factor
--- a/alderspool/balancer/request_dispatch.py
+++ b/alderspool/balancer/request_dispatch.py
@@ -32,6 +32,7 @@
         self.policies = policies
         self._settings = settings
         self._queue = policies.queue
+        self._cancels_losers = hedging.cancels_losers(settings)
         self._log_lines_left = MAX_LOG_LINES
 
     def accept(self, event: Request) -> None:
@@ -170,7 +171,7 @@
         if request.attempts:
             policies.retry_budget.withdraw(now)
         idle_ms = now - endpoint.silent_since if endpoint.connections > endpoint.in_flight else 0.0
-        if policies.connections.is_stale(idle_ms):
+        if idle_ms > 0.0 and policies.connections.is_stale(idle_ms):
             self.actions.append(CloseIdle(endpoint.id))
             idle_ms = 0.0
         number = endpoint.begin_attempt(now, traffic_class, policies.rotation.stall_timeout_ms(request))
@@ -205,14 +206,15 @@
         policies.connections.record_end(status, attempt.connection_idle_ms)
         if status in (AttemptStatus.CONNECT_FAILED, AttemptStatus.RESET):
             endpoint.connections = endpoint.in_flight
-        ended = EndedAttempt(status, attempt.sent_at, self.now - attempt.sent_at, later_responses)
+        latency_ms = self.now - attempt.sent_at
         if endpoint.cold_rate == inf:
             work = policies.latency.typical_ms[request.traffic_class] / policies.latency.mean_typical_ms
             objective_ms = self._settings.classes[request.class_index].latency_objective_ms
-            policies.limit.record_end(status, work, ended.latency_ms, objective_ms)
+            policies.limit.record_end(status, work, latency_ms, objective_ms)
         if is_served:
-            self._record_success(request, endpoint, ended.latency_ms)
+            self._record_success(request, endpoint, latency_ms)
         else:
+            ended = EndedAttempt(status, attempt.sent_at, latency_ms, later_responses)
             self._record_failure(request, endpoint, ended)
         if policies.load_reports.is_sending:
             self.actions.extend(policies.load_reports.on_change(endpoint))
@@ -243,7 +245,7 @@
     def _settle(self, request: RequestState, event: Outcome) -> None:
         """Finish a request after one of its attempts has ended, or make a further attempt, or give it up."""
         policies = self.policies
-        if policies.retry_rules.may_have_run(event.status):
+        if event.status not in policies.retry_rules.proofs_of_not_run:
             request.may_have_run = True
         if event.finished and not request.is_finished:
             self._finish(request)
@@ -261,7 +263,7 @@
     def _finish(self, request: RequestState) -> None:
         """End a request; its open attempts are cancelled where hedges are made at all."""
         request.is_finished = True
-        if hedging.cancels_losers(self._settings):
+        if self._cancels_losers:
             for number, attempt in enumerate(request.attempts):
                 if attempt is not None:
                     self.actions.append(Cancel(request.id, number))
--- a/alderspool/balancer/retry_budget.py
+++ b/alderspool/balancer/retry_budget.py
@@ -4,7 +4,7 @@
 comes on top.
 """
 
-from alderspool.balancer.containers import SlidingWindowCount, TokenBucket
+from alderspool.balancer.containers import SlidingWindowCount
 from alderspool.balancer.settings import Settings
 
 TOKENS_PER_REQUEST = 0.2
@@ -16,7 +16,7 @@
     """The tokens that requests earn for retries, and the stated budget over a sliding window."""
 
     def __init__(self, settings: Settings) -> None:
-        self.bucket = TokenBucket(MAX_TOKENS, INITIAL_TOKENS)
+        self.tokens = INITIAL_TOKENS
         self._settings = settings
         self._is_stated = settings.retry_budget_window_ms > 0.0
         self._requests = SlidingWindowCount()
@@ -24,7 +24,7 @@
 
     def deposit(self, now: float) -> None:
         """Credit a request that has come in."""
-        self.bucket.deposit(TOKENS_PER_REQUEST)
+        self.tokens = min(self.tokens + TOKENS_PER_REQUEST, MAX_TOKENS)
         if self._is_stated:
             self._requests.add(now)
 
@@ -37,10 +37,10 @@
             requests = self._requests.count_since(start + settings.clock_step_ms)
             if retries + 1 > settings.retry_budget_floor + settings.retry_budget_ratio * requests:
                 return False
-        return self.bucket.tokens >= 1.0
+        return self.tokens >= 1.0
 
     def withdraw(self, now: float) -> None:
         """Charge a retry or a hedge."""
-        self.bucket.withdraw(1.0)
+        self.tokens -= 1.0
         if self._is_stated:
             self._retries.add(now)
--- a/alderspool/balancer/retry_rules.py
+++ b/alderspool/balancer/retry_rules.py
@@ -19,11 +19,7 @@
         self._latency = latency
         self._classes = settings.classes
         proofs = NEVER_RAN - ({AttemptStatus.REJECTED} if settings.rejected_may_have_run else set())
-        self._proofs_of_not_run = tuple(sorted(proofs))
-
-    def may_have_run(self, status: int) -> bool:
-        """Whether an attempt that ended so may have run."""
-        return status not in self._proofs_of_not_run
+        self.proofs_of_not_run = tuple(sorted(proofs))  # statuses of attempts that never ran
 
     def may_attempt(self, request: RequestState, now: float) -> bool:
         """Whether the request may have an attempt now, or one more."""
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -1023,10 +1023,10 @@
 def test_failed_connects_come_out_of_the_retry_budget() -> None:
     d = Driver([UNSAFE])
     d.servers(2)
-    d.policies.retry_budget.bucket.tokens = 0.0  # each further connect would cost a server another handshake
+    d.policies.retry_budget.tokens = 0.0  # each further connect would cost a server another handshake
     (send,) = sends(d.request())
     assert finals(d.outcome(send.id, 0, send.endpoint, S.CONNECT_FAILED)) == [Reject(1, 0.0)]
-    assert d.policies.retry_budget.bucket.tokens == 0.2
+    assert d.policies.retry_budget.tokens == 0.2
 
 
 def test_the_first_limit_falls_with_the_number_of_instances_that_share_a_server() -> None:
