--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,4 @@
-"""A small driver for Balancer: settings, servers and outcomes in a few words. It models nothing."""
+"""A small driver for Balancer: settings, endpoints and outcomes in a few words. It models nothing."""
 
 from __future__ import annotations
 
@@ -19,14 +19,18 @@
     UpdateMode,
 )
 from alderspool.balancer.settings import Idempotency, RequestClass, Settings
+from alderspool.balancer.timers import TimerKind, timer_token
 
 IDEMPOTENT = RequestClass("free", latency_objective_ms=200.0, deadline_ms=400.0)
 UNSAFE = RequestClass(
     "unsafe", latency_objective_ms=200.0, deadline_ms=400.0, idempotency=Idempotency.NON_IDEMPOTENT
 )
 
+QUEUE_TIMER = timer_token(TimerKind.QUEUE)
+LOAD_REPORT_TIMER = timer_token(TimerKind.LOAD_REPORT)
 
-def sid(n: int) -> bytes:
+
+def endpoint_id(n: int) -> bytes:
     return bytes((10, 0, 0, n, 31, 144))
 
 
@@ -56,21 +60,21 @@
         """Rebuild all that was learned, at the time of the last event."""
         self.lb.refresh.run(self.lb.requests.now)
 
-    def tell(self, event: Event) -> list[Action]:
+    def handle(self, event: Event) -> list[Action]:
         actions = self.lb.handle(self.now, event)
         self.log += actions
         return actions
 
-    def list(self, *entries: EndpointEntry, mode: int = UpdateMode.FULL) -> list[Action]:
-        return self.tell(EndpointListUpdate(mode, [*entries]))
+    def update_list(self, *entries: EndpointEntry, mode: int = UpdateMode.FULL) -> list[Action]:
+        return self.handle(EndpointListUpdate(mode, [*entries]))
 
-    def servers(self, n: int, **fields: object) -> None:
-        self.list(*(EndpointEntry(sid(i), **fields) for i in range(n)))
+    def list_endpoints(self, n: int, **fields: object) -> None:
+        self.update_list(*(EndpointEntry(endpoint_id(i), **fields) for i in range(n)))
 
     def request(self, cls: int = 0, left: float | None = None, **fields: object) -> list[Action]:
         self.next_id += 1
         left = self.cfg.classes[cls].deadline_ms if left is None else left
-        return self.tell(Request(self.next_id, left, cls, **fields))
+        return self.handle(Request(self.next_id, left, cls, **fields))
 
     def outcome(
         self,
@@ -81,10 +85,10 @@
         finished: bool | None = None,
     ) -> list[Action]:
         finished = status == AttemptStatus.OK if finished is None else finished
-        return self.tell(Outcome(rid, attempt, server, status, 5.0, finished))
+        return self.handle(Outcome(rid, attempt, server, status, 5.0, finished))
 
     def timer(self, token: int) -> list[Action]:
-        return self.tell(TimerFired(token))
+        return self.handle(TimerFired(token))
 
     def serve(self, n: int, took: float = 5.0, cls: int = 0) -> list[bytes]:
         """n requests one after the other, each served in `took` ms; the servers that got them."""
@@ -105,6 +109,14 @@
     return [a for a in actions if isinstance(a, Reject | Fail)]
 
 
+def fleet(number: int, instance_count: int, servers: int, **settings: object) -> Driver:
+    d = Driver(instance_number=number, instance_count=instance_count, **settings)
+    d.update_list(
+        *(EndpointEntry(bytes((10, i * 7 % 256, 0, i, 31, 144)), zone=i % 2) for i in range(servers))
+    )
+    return d
+
+
 @pytest.fixture
 def driver() -> type[Driver]:
     return Driver
--- /dev/null
+++ b/tests/test_balancer_hedging.py
@@ -0,0 +1,23 @@
+"""Hedged requests."""
+
+from __future__ import annotations
+
+from conftest import Driver, sends
+
+from alderspool.balancer.actions import (
+    Cancel,
+)
+from alderspool.balancer.timers import TimerKind, timer_token
+
+
+def test_hedges_once_and_only_where_allowed() -> None:
+    for allowed in (False, True):
+        d = Driver(hedging_allowed=allowed, cancel_allowed=True)
+        d.list_endpoints(3)
+        (send,) = sends(d.request())
+        d.now += 90.0
+        actions = d.timer(timer_token(TimerKind.HEDGE, send.id))
+        assert len(sends(actions)) == int(allowed)
+    copy = sends(actions)[0]
+    assert copy.endpoint != send.endpoint
+    assert d.outcome(1, 1, copy.endpoint) == [Cancel(1, 0)]
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -5,7 +5,7 @@
 from random import Random
 
 import pytest
-from conftest import sid
+from conftest import endpoint_id
 
 from alderspool.balancer.actions import Action, Cancel, Fail, Reject, Send, SendToPeer, SetTimer
 from alderspool.balancer.balancer import Balancer
@@ -71,7 +71,7 @@
         self.taken: list[float] = []  # when a request came
         self.extra: list[float] = []  # when one got an attempt beyond its first
         self.keys: dict[int, list[int]] = {}  # ordered requests by key, as taken
-        self.rest: dict[int, float] = {}
+        self.quiesced_until: dict[int, float] = {}
         self.keys_of: dict[int, int] = {}
         self.ordered: set[int] = set()
         self.now = 1000.0
@@ -110,12 +110,12 @@
         request, deadline = self.open[a.id]  # KeyError: sent for a request that has ended
         entry = self.listed[a.endpoint]
         assert entry.availability == Availability.READY
-        tries = self.attempts[a.id]
-        assert len(tries) < self.cfg.max_attempts
+        attempts = self.attempts[a.id]
+        assert len(attempts) < self.cfg.max_attempts
         c = self.cfg.classes[request.cls]
         if not self.cfg.hedging_allowed:
-            assert all(t[2] is not None for t in tries)
-        maybe = [t for t in tries if self.maybe_ran(t)]
+            assert all(t[2] is not None for t in attempts)
+        maybe = [t for t in attempts if self.maybe_ran(t)]
         if c.idempotency == Idempotency.NON_IDEMPOTENT:
             assert not maybe
         if c.idempotency == Idempotency.KEYED and maybe:
@@ -127,19 +127,21 @@
                     if c.deduplication_scope == DeduplicationScope.ZONE
                     else entry.cell == first.cell
                 )
-        if tries and self.cfg.retry_budget_window_ms:
+        if attempts and self.cfg.retry_budget_window_ms:
             since = self.now - self.cfg.retry_budget_window_ms
             self.extra.append(self.now)
             made, taken = (sum(t > since for t in times) for times in (self.extra, self.taken))
             assert made <= self.cfg.retry_budget_floor + self.cfg.retry_budget_ratio * taken
         if c.ordered_by_key and request.key:
-            assert tries or self.now >= self.rest.get(request.key, 0.0)  # its own further tries need no rest
+            assert attempts or self.now >= self.quiesced_until.get(
+                request.key, 0.0
+            )  # its own retries need not wait
             for earlier in self.keys[request.key]:
                 if earlier == request.id:
                     break
-                told = all(t[2] is not None for t in self.attempts.get(earlier, []))
-                assert earlier not in self.open and told, "out of turn"
-        tries.append([entry, self.now, None, min(deadline, self.now + self.random.expovariate(1 / 60.0))])
+                has_ended = all(t[2] is not None for t in self.attempts.get(earlier, []))
+                assert earlier not in self.open and has_ended, "out of turn"
+        attempts.append([entry, self.now, None, min(deadline, self.now + self.random.expovariate(1 / 60.0))])
 
     def maybe_ran(self, attempt: list) -> bool:
         return attempt[2] not in NEVER_RAN - self.no_proof
@@ -149,7 +151,7 @@
         self.now += r.choice([0.0, 1.0, 2.0, 5.0])
         for due, token in sorted(t for t in self.timers if t[0] <= self.now):
             self.timers.remove((due, token))
-            self.tell(TimerFired(token))
+            self.handle(TimerFired(token))
         for rid in list(self.attempts):
             for number, t in enumerate(self.attempts[rid]):
                 if t[2] is None and t[3] <= self.now:
@@ -172,19 +174,19 @@
             if self.cfg.classes[request.cls].ordered_by_key:
                 self.keys.setdefault(request.key, []).append(request.id)
                 self.ordered.add(request.id)
-            self.tell(request)
+            self.handle(request)
         elif kind < 0.53:
             self.change_list()
         elif kind < 0.55 and self.open:
             rid = r.choice(list(self.open))
             del self.open[rid]
-            self.tell(ClientDisconnected(rid))
+            self.handle(ClientDisconnected(rid))
         elif kind < 0.6:
-            self.tell(PeerMessage(r.randint(0, 5), sid(r.randint(0, 9)) + bytes(r.randint(0, 2))))
+            self.handle(PeerMessage(r.randint(0, 5), endpoint_id(r.randint(0, 9)) + bytes(r.randint(0, 2))))
         elif kind < 0.62:
-            self.tell(Outcome(10**6, 0, sid(0), 1, 1.0, True))
+            self.handle(Outcome(10**6, 0, endpoint_id(0), 1, 1.0, True))
         elif kind < 0.63:
-            self.tell(HealthChecked(sid(0), 3, 1.0))
+            self.handle(HealthChecked(endpoint_id(0), 3, 1.0))
 
     def end_attempt(self, rid: int, number: int, t: list) -> None:
         overdue = rid in self.open and self.now >= self.open[rid][1]
@@ -197,10 +199,10 @@
         if t[2] == S.OK:
             self.open.pop(rid, None)
         if rid in self.ordered and t[2] in (S.TIMEOUT, S.RESET, S.CANCELLED):
-            self.rest[self.keys_of[rid]] = self.now + self.cfg.key_quiesce_ms
+            self.quiesced_until[self.keys_of[rid]] = self.now + self.cfg.key_quiesce_ms
         report = self.random.choice([(), (float("nan"), float("inf"))])
         finished = rid not in self.open
-        self.tell(Outcome(rid, number, t[0].id, t[2], self.now - t[1], finished, report))
+        self.handle(Outcome(rid, number, t[0].id, t[2], self.now - t[1], finished, report))
 
     def change_list(self) -> None:
         r = self.random
@@ -210,13 +212,13 @@
             state = r.choice([0, 0, 0, 3, 1] if mode == UpdateMode.DELTA else [0, 0, 3])
             started = r.choice([0.0, self.now - 50.0, self.now + 1e5])
             size = r.choice([0.0, 1.0, 4.0, float("nan"), float("inf")])
-            entries.append(EndpointEntry(sid(n), size, n // 3, started, state, n // 4))
+            entries.append(EndpointEntry(endpoint_id(n), size, n // 3, started, state, n // 4))
         if mode in (UpdateMode.FULL, UpdateMode.CACHED):
             self.listed = {}
         self.listed |= {e.id: e for e in entries}
-        self.tell(EndpointListUpdate(mode, entries))
+        self.handle(EndpointListUpdate(mode, entries))
 
-    def tell(self, event: Event) -> None:
+    def handle(self, event: Event) -> None:
         self.check(self.lb.handle(self.now, event))
 
 
@@ -228,7 +230,7 @@
 
 
 @pytest.mark.parametrize("seed", range(40))
-def test_the_rules_hold_under_anything_legal(seed: int) -> None:
+def test_rules_hold_under_any_legal_events(seed: int) -> None:
     world = play(seed)
     assert sum(isinstance(a, Send) for actions in world.trace for a in actions) > 15
     # bounded memory: nothing is kept of requests long ended
@@ -238,5 +240,5 @@
     assert waiting <= {id(r) for r in world.lb.requests.pending.values()}
 
 
-def test_the_same_events_give_the_same_actions_over_long_runs() -> None:
+def test_same_events_give_same_actions_over_long_runs() -> None:
     assert play(3).trace == play(3).trace
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -104,7 +104,7 @@
 
 @settings(max_examples=25, deadline=None, derandomize=True, database=None, phases=[Phase.generate])
 @given(histories())
-def test_progress_and_the_way_back_whatever_came_before(history: dict) -> None:
+def test_makes_progress_and_recovers_after_any_faults(history: dict) -> None:
     fleet, back = play(history)  # the model asserts the rules at every action
     could = [second for second in range(1, fleet.second()) if second in fleet.able]
     assert not [second for second in could if second not in fleet.left], (
@@ -114,20 +114,20 @@
 
 
 @pytest.mark.parametrize("load", [1.2, 1.6, 2.5])
-def test_a_steady_overload_uses_the_fleet_and_what_it_does_is_in_time(load: float) -> None:
+def test_steady_overload_uses_the_fleet_and_is_served_in_time(load: float) -> None:
     fleet = Fleet(11, load)
     fleet.run(12)
     assert fleet.service(2, 11) >= SERVED
 
 
-def test_all_tenants_over_their_shares_at_once_are_served_alike() -> None:
+def test_tenants_all_over_quota_are_served_alike() -> None:
     fleet = Fleet(12, 1.6)
     fleet.run(12)
     served = [done / asked for asked, done in fleet.by_tenant]
     assert max(served) - min(served) < 0.12 and min(served) > 0.5
 
 
-def test_a_flood_costs_those_within_their_shares_little() -> None:
+def test_flood_of_one_tenant_costs_the_others_little() -> None:
     calm, flooded = Fleet(13, 0.75), Fleet(13, 1.6, flood=5.0)
     for fleet in (calm, flooded):
         fleet.run(15)
@@ -136,7 +136,7 @@
     assert flooded.service(2, 14) >= SERVED
 
 
-def test_choked_nodes_get_the_rest_that_they_need_and_service_is_back_within_12_s() -> None:
+def test_quiesce_restores_service_of_choked_nodes_within_12_s() -> None:
     fleet = Fleet(2, 1.3)
     fleet.run(CALM)
     for node in fleet.nodes:
@@ -150,14 +150,14 @@
     assert fleet.left >= set(range(1, fleet.second()))  # and attempts went on meanwhile
 
 
-def test_nodes_do_not_choke_on_what_proxies_send_in_an_overload() -> None:
+def test_overload_does_not_choke_nodes() -> None:
     fleet = Fleet(3, 2.0, proxies=3)
     fleet.run(15)
     assert not any(node.choked_at or node.crowded_since for node in fleet.nodes)
 
 
 @pytest.mark.parametrize("struck", [1, 2])
-def test_what_swallows_work_costs_nothing_beyond_its_own_capacity(struck: int) -> None:
+def test_silent_node_costs_no_more_than_its_own_capacity(struck: int) -> None:
     fleet = Fleet(4, 1.3)
     fleet.run(CALM)
     for node in fleet.nodes[:struck]:
@@ -167,7 +167,7 @@
     assert fleet.service(CALM + 1, CALM + 7) >= SERVED * left
 
 
-def test_the_wave_of_retries_after_an_outage_is_no_new_outage() -> None:
+def test_retries_after_an_outage_cause_no_new_outage() -> None:
     fleet = Fleet(5, 1.0)
     fleet.run(CALM)
     for node in fleet.nodes:
@@ -181,7 +181,7 @@
     assert fleet.service(back, back + 5) >= SERVED
 
 
-def test_a_fleet_that_died_whole_and_came_back_cold_is_used_as_it_warms() -> None:
+def test_fleet_back_cold_from_an_outage_is_used_as_it_warms_up() -> None:
     fleet = Fleet(6, 1.3)
     fleet.run(CALM)
     dead(fleet, 1.0, 4.0)
@@ -191,7 +191,7 @@
     assert not any(node.choked_at for node in fleet.nodes)
 
 
-def test_a_proxy_restarted_in_an_overload_finds_its_place_and_costs_its_sibling_none() -> None:
+def test_proxy_restarted_in_an_overload_converges_with_its_peer() -> None:
     fleet = Fleet(7, 1.5)
     fleet.run(CALM)
     fleet.restart(0)  # nothing learned
@@ -203,7 +203,7 @@
     assert high < 4.0 * low
 
 
-def test_one_class_that_may_never_run_twice_in_an_overload() -> None:
+def test_non_idempotent_class_alone_in_an_overload() -> None:
     fleet = Fleet(1, 1.5, only=1)  # the model asserts that no effect happens twice
     fleet.run(12)
     assert fleet.service(2, 11) >= 0.75  # a tight aim: with 98 % of the cores at work, some wait too long
