--- a/alderspool/balancer/admission_queue.py
+++ b/alderspool/balancer/admission_queue.py
@@ -8,7 +8,8 @@
 
 from alderspool.balancer.class_isolation import ISOLATED_SHARE_OF_OBJECTIVE
 from alderspool.balancer.events import Request
-from alderspool.balancer.latency import MIX_MEMORY_MS, LatencyEstimates
+from alderspool.balancer.latency import MIX_MEMORY_MS
+from alderspool.balancer.latency_estimates import LatencyEstimates
 from alderspool.balancer.moving_averages import FadingSums
 from alderspool.balancer.request_state import KeyQueue, KeyQueues, PriorityQueue, QueueRank, RequestState
 from alderspool.balancer.settings import Settings
@@ -74,10 +75,7 @@
         return False
 
     def join_key_queue(self, request: RequestState, key: int, now: float) -> bool:
-        """Queue a request behind those of its key; return whether the key can serve it in time.
-
-        One that it cannot is rejected at once: else all requests of a popular key are late.
-        """
+        """Queue a request behind those of its key; return False if the key cannot serve it in time."""
         queue = self.key_queues.of_key(key)
         ahead = len(queue.requests)
         needed_ms = (ahead + 1) * self._latency.typical_ms[request.traffic_class]
@@ -99,9 +97,8 @@
     def _objective_left_ms(self, event: Request, now: float) -> float:
         """Return the rest of the latency objective: a wave of client retries must not be served too late."""
         request_class = self._settings.classes[event.cls]
-        longest_ms = max(
-            self._longest_time_left_ms[event.cls], min(event.time_left_ms, request_class.deadline_ms)
-        )
+        longest_ms = min(event.time_left_ms, request_class.deadline_ms)
+        longest_ms = max(self._longest_time_left_ms[event.cls], longest_ms)
         self._longest_time_left_ms[event.cls] = longest_ms
         margin_ms = FIRST_TRY_CLOCK_STEPS * self._settings.clock_step_ms
         is_first_try = event.time_left_ms > FIRST_TRY_SHARE * longest_ms - margin_ms
--- a/alderspool/balancer/class_isolation.py
+++ b/alderspool/balancer/class_isolation.py
@@ -6,7 +6,7 @@
 from math import inf
 
 from alderspool.balancer.endpoint import EndpointState
-from alderspool.balancer.latency import LatencyEstimates
+from alderspool.balancer.latency_estimates import LatencyEstimates
 from alderspool.balancer.outlier_detection import is_outlier
 from alderspool.balancer.settings import Settings
 
--- a/alderspool/balancer/concurrency_limit.py
+++ b/alderspool/balancer/concurrency_limit.py
@@ -1,7 +1,6 @@
 """Concurrency limit: as many open attempts as are answered well within their latency objective.
 
-More would wait at the endpoints, slow them down and be late. What the other instances send shows in the same
-latency, so all instances meet at the same limit.
+More would be late and slow endpoints down. All instances see the same latency and so meet at the same limit.
 
 Quiesce: some endpoints, once slowed by too much work, stay slow until they are nearly idle. So where much is
 slow even with hardly any load, all endpoints but one get nothing for a while, then that one gets nothing. If
@@ -56,10 +55,7 @@
     has_load_reports: bool = False
 
     def set_sharing(self, sharing_instances: float, has_load_reports: bool, is_first: bool) -> None:
-        """Take over how many instances share an endpoint.
-
-        Where many do the first limit is lower: hundreds that know nothing would overload it at once.
-        """
+        """Take over how many share an endpoint; many start lower, as all at once they would overload it."""
         self.sharing_instances = sharing_instances
         self.has_load_reports = has_load_reports
         if is_first and not has_load_reports:
@@ -116,10 +112,7 @@
         return begins
 
     def apply(self, endpoints: Endpoints, now: float, mean_size: float) -> None:
-        """Quiesce endpoints, and rebuild the total limit.
-
-        The open attempts of stalled and removed endpoints take no capacity from the others.
-        """
+        """Quiesce endpoints; rebuild the total limit, in which stalled ones take no capacity from others."""
         healthy = [endpoint for endpoint in endpoints if not is_outlier(endpoint)]
         responsive = [
             endpoint
--- /dev/null
+++ b/alderspool/balancer/latency_estimates.py
@@ -0,0 +1,87 @@
+"""Typical and no-load latency by traffic class, the mix of classes, and the rate at which work arrives.
+
+A traffic class is a request class; where there is only one, cost hints split it in two. These are moving
+averages alone: their memories, priors and thresholds are in `latency`.
+"""
+
+from __future__ import annotations
+
+from math import exp, inf
+
+from alderspool.balancer import latency
+from alderspool.balancer.endpoint import EndpointState
+from alderspool.balancer.events import Request
+from alderspool.balancer.moving_averages import ArrivalRate, ClassMix, MeansByClass
+from alderspool.balancer.settings import Settings
+
+
+class LatencyEstimates:
+    """Moving figures of the traffic: read on each request, rebuilt at each refresh. Times in ms."""
+
+    def __init__(self, settings: Settings) -> None:
+        objectives = [request_class.latency_objective_ms for request_class in settings.classes]
+        mix = [latency.MIX_PRIOR_REQUESTS * min(objectives) / objective for objective in objectives]
+        typical_ms = [objective * latency.TYPICAL_SHARE_OF_OBJECTIVE for objective in objectives]
+        self.is_split_by_cost = len(objectives) == 1
+        if self.is_split_by_cost:
+            mix.append(latency.SPLIT_PRIOR)
+            typical_ms *= 2
+        self.class_count = len(mix)
+        self.mix = ClassMix(mix)
+        self.typical = MeansByClass(typical_ms, latency.TYPICAL_PRIOR_RESPONSES, latency.MIN_RESPONSES)
+        self.typical_ms = self.typical.means
+        self.no_load_ms = [typical * latency.NO_LOAD_SHARE_OF_TYPICAL for typical in typical_ms]
+        self.mean_typical_ms = sum(typical_ms) / self.class_count
+        self.arrivals = ArrivalRate(latency.MIX_MEMORY_MS)  # of work, in requests of mean typical latency
+        self.started_at = 0.0  # of this instance
+        self._mean_hint_ms = 0.0
+
+    def record_request(self, request: Request) -> int:
+        """Count a request; return its traffic class."""
+        traffic_class = request.cls
+        hint_ms = request.cost_hint_ms
+        if self.is_split_by_cost and 0.0 < hint_ms < inf:
+            gain = latency.HINT_GAIN if self._mean_hint_ms else 1.0
+            self._mean_hint_ms += (hint_ms - self._mean_hint_ms) * gain
+            if hint_ms > latency.COSTLY_FACTOR * self._mean_hint_ms:
+                traffic_class = 1
+        self.mix.counts[traffic_class] += 1.0
+        self.arrivals.since_refresh += self.typical_ms[traffic_class] / self.mean_typical_ms
+        return traffic_class
+
+    def record_response(self, traffic_class: int, latency_ms: float) -> None:
+        """Take in the latency of a served attempt."""
+        self.typical.record(traffic_class, latency_ms)
+        is_above = latency_ms > self.no_load_ms[traffic_class]
+        self.no_load_ms[traffic_class] *= latency.NO_LOAD_RISE if is_above else latency.NO_LOAD_FALL
+
+    def refresh(self, now: float, elapsed_ms: float) -> None:
+        """Rebuild the figures that requests read."""
+        fade = exp(-elapsed_ms / latency.MIX_MEMORY_MS)
+        self.mix.refresh(fade)
+        self.typical.refresh(fade)
+        mean = sum(share * ms for share, ms in zip(self.mix.shares, self.typical_ms, strict=True))
+        self.mean_typical_ms = max(mean, 1e-3)
+        self.arrivals.refresh(now - self.started_at + elapsed_ms, elapsed_ms)
+
+
+class WorkRate:
+    """A moving average of the work that endpoints serve for their size."""
+
+    def __init__(self, estimates: LatencyEstimates) -> None:
+        self.per_size = 0.0  # typical requests per ms and unit of size
+        self.mean_size = 0.0  # of the endpoints that it was last learned from
+        self._estimates = estimates
+
+    def learn(self, endpoints: list[EndpointState], now: float, elapsed_ms: float) -> None:
+        """Take in what these endpoints serve."""
+        served_work = 0.0
+        size = 0.0
+        for endpoint in endpoints:
+            served_work += endpoint.served_work
+            size += endpoint.size
+        if size:
+            self.mean_size = size / len(endpoints)
+            known_ms = min(latency.FIGURE_MEMORY_MS, now - self._estimates.started_at + elapsed_ms)
+            work_rate = served_work / (self._estimates.mean_typical_ms * known_ms) / size
+            self.per_size += (work_rate - self.per_size) * self._estimates.arrivals.gain
--- a/alderspool/balancer/outlier_detection.py
+++ b/alderspool/balancer/outlier_detection.py
@@ -8,13 +8,13 @@
 
 from alderspool.balancer.endpoint import ANY, Circuit, EndpointState
 from alderspool.balancer.events import AttemptStatus
-from alderspool.balancer.latency import LatencyEstimates
+from alderspool.balancer.latency_estimates import LatencyEstimates
 from alderspool.balancer.request_state import EndedAttempt, RequestState
 from alderspool.balancer.settings import Settings
 
 FAIR_TIMEOUT_FACTOR = 2.5  # a time-out counts against its endpoint from this many typical latencies on
 EJECTED_AFTER_FAILURES = 3  # in a row
-PANIC_THRESHOLD = 0.5  # with more of the endpoints than this ejected, the judgement is doubted, not the fleet
+PANIC_THRESHOLD = 0.5  # with more than this ejected, the detector is likelier wrong than so many endpoints
 PANIC_MAX_DOUBLINGS = 2  # in panic the back-off stays short, unless an endpoint says that it is full
 MAX_DOUBLINGS = 10
 BACKOFF_TURNS = 2.0  # the first back-off lasts this many turns of an endpoint, where others try it as well
@@ -67,7 +67,9 @@
             return False  # attempts lost together, in one pause, are one failure
         endpoint.consecutive_failures += 1
         endpoint.last_failure_at = now
-        doublings = min(endpoint.consecutive_failures - 1, self._max_doublings(ended.status))
+        is_in_doubt = self.is_panic and ended.status != AttemptStatus.REJECTED
+        max_doublings = PANIC_MAX_DOUBLINGS if is_in_doubt else MAX_DOUBLINGS
+        doublings = min(endpoint.consecutive_failures - 1, max_doublings)
         backoff_ms = self._first_backoff_ms(request.traffic_class) * 2**doublings
         endpoint.blocked_until = now + min(backoff_ms, MAX_BACKOFF_MS)
         if ended.status == AttemptStatus.CONNECT_FAILED and is_outlier(endpoint):
@@ -75,33 +77,20 @@
         return endpoint.consecutive_failures == EJECTED_AFTER_FAILURES
 
     def refresh(self) -> None:
-        """Decide whether so many endpoints look bad that the judgement is doubted."""
+        """Decide whether so many endpoints are outliers that this is in doubt."""
         self.is_panic = self.outlier_count > PANIC_THRESHOLD * self.subset_size
 
-    def _max_doublings(self, status: int) -> int:
-        if self.is_panic and status != AttemptStatus.REJECTED:
-            return PANIC_MAX_DOUBLINGS
-        return MAX_DOUBLINGS
-
     def _first_backoff_ms(self, traffic_class: int) -> float:
-        """Return the back-off after one failure.
-
-        One that ends before the next turn of the endpoint spares it nothing; yet all instances that share it
-        need not try it more rarely together than one would alone.
-        """
+        """Return the back-off after one failure: a few turns of the endpoint, as less spares it nothing."""
         typical_ms = self.latency.typical_ms[traffic_class]
         turn_ms = self.subset_size / max(self.latency.arrivals.rate, MIN_ARRIVAL_RATE)
         return max(typical_ms, min(BACKOFF_TURNS * turn_ms, self.sharing_instances * typical_ms))
 
     def _record_circuit_failures(self, endpoint: EndpointState, request: RequestState, now: float) -> None:
-        """Open circuits as narrowly as the evidence is.
-
-        That is for this class of this tenant; for all of either once a second kind failed with none served.
-        """
+        """Open the circuit of this class and tenant; that of either alone once a second kind has failed."""
         keys = request.circuit_keys
-        for key, counterpart in zip(
-            keys, (ANY, keys.tenant.tenant, keys.traffic_class.traffic_class), strict=True
-        ):
+        counterparts = (ANY, keys.tenant.tenant, keys.traffic_class.traffic_class)
+        for key, counterpart in zip(keys, counterparts, strict=True):
             failures, open_until, first_counterpart = endpoint.circuits.get(key, Circuit(0, 0.0, counterpart))
             if counterpart == ANY or first_counterpart != counterpart or open_until:
                 open_until = now + min(CIRCUIT_OPEN_MS * 2**failures, MAX_CIRCUIT_OPEN_MS)
--- a/alderspool/balancer/policies.py
+++ b/alderspool/balancer/policies.py
@@ -9,7 +9,7 @@
 from alderspool.balancer.concurrency_limit import ConcurrencyLimit
 from alderspool.balancer.connection_health import ConnectionHealth
 from alderspool.balancer.endpoint_list import EndpointList
-from alderspool.balancer.latency import LatencyEstimates
+from alderspool.balancer.latency_estimates import LatencyEstimates, WorkRate
 from alderspool.balancer.load_reports import LoadReports
 from alderspool.balancer.outlier_detection import OutlierDetector
 from alderspool.balancer.peer_loads import PeerLoads
@@ -31,7 +31,7 @@
         self.outliers = OutlierDetector(settings, self.latency)
         self.isolation = ClassIsolation(settings, self.latency)
         self.connections = ConnectionHealth()
-        self.slow_start = SlowStart(settings, self.latency)
+        self.slow_start = SlowStart(settings, self.latency, WorkRate(self.latency))
         self.limit = ConcurrencyLimit()
         self.retry_rules = RetryRules(settings, self.latency)
         self.retry_budget = RetryBudget(settings)
--- a/alderspool/balancer/retry_budget.py
+++ b/alderspool/balancer/retry_budget.py
@@ -1,7 +1,6 @@
 """Retry budget: attempts beyond the first for a share of the requests only, else they multiply an overload.
 
-What never ran counts too: it cost an endpoint a connection or a rejection. A budget that the settings state
-comes on top.
+What never ran counts too: it cost a connection or a rejection. A budget stated by the settings comes on top.
 """
 
 from alderspool.balancer.containers import SlidingWindowCount
--- a/alderspool/balancer/retry_rules.py
+++ b/alderspool/balancer/retry_rules.py
@@ -2,7 +2,7 @@
 
 from alderspool.balancer.endpoint import EndpointState
 from alderspool.balancer.events import NEVER_RAN, AttemptStatus
-from alderspool.balancer.latency import LatencyEstimates
+from alderspool.balancer.latency_estimates import LatencyEstimates
 from alderspool.balancer.request_state import RequestState
 from alderspool.balancer.settings import DeduplicationScope, Idempotency, Settings
 
@@ -23,11 +23,9 @@
 
     def may_attempt(self, request: RequestState, now: float) -> bool:
         """Whether the request may have an attempt now, or one more."""
-        if (
-            request.is_finished
-            or len(request.attempts) >= self._settings.max_attempts
-            or now >= request.deadline
-        ):
+        if request.is_finished or now >= request.deadline:
+            return False
+        if len(request.attempts) >= self._settings.max_attempts:
             return False
         if request.open_attempts and not self._settings.hedging_allowed:
             return False
@@ -56,10 +54,7 @@
         return endpoint.cell == request.first_run_cell
 
     def may_begin(self, request: RequestState, now: float) -> bool:
-        """Whether the last attempt may still go out, perhaps long after it was decided.
-
-        It waited for its connection, and a duplicate that comes after the deduplication window would run.
-        """
+        """Whether the last attempt may still go out, perhaps long after it was decided: it had to connect."""
         is_keyed = self._classes[request.class_index].idempotency == Idempotency.KEYED
         is_retry = len(request.attempts) > 1
         return not (is_keyed and is_retry) or now <= self.deduplicated_until(request)
--- a/alderspool/balancer/rotation.py
+++ b/alderspool/balancer/rotation.py
@@ -14,7 +14,8 @@
 from alderspool.balancer.connection_health import CONNECT_FAILURES_HIGH, ConnectionHealth
 from alderspool.balancer.endpoint import EndpointState
 from alderspool.balancer.events import AttemptStatus
-from alderspool.balancer.latency import FIGURE_MEMORY_MS, LatencyEstimates
+from alderspool.balancer.latency import FIGURE_MEMORY_MS
+from alderspool.balancer.latency_estimates import LatencyEstimates
 from alderspool.balancer.request_state import RequestState
 from alderspool.balancer.retry_rules import RetryRules
 from alderspool.balancer.settings import Settings
@@ -43,10 +44,7 @@
     rules: RetryRules
 
     def learn_speeds(self, now: float, elapsed_ms: float) -> None:
-        """Rebuild the overall speed of each endpoint.
-
-        Open attempts count: an endpoint that swallows work sinks long before any time-out tells.
-        """
+        """Rebuild the overall speeds; open attempts count, so that one that swallows work sinks soon."""
         fade = exp(-elapsed_ms / FIGURE_MEMORY_MS)
         typical_ms = self.latency.typical_ms
         prior_ms = SEED_PRIOR * self.latency.mean_typical_ms
@@ -79,10 +77,7 @@
             endpoint.weight = max(weight, min_weight) * factor
 
     def admit_new_endpoints(self) -> None:
-        """Set the fair shares, and put new endpoints into the rotation.
-
-        They start at a random phase, else all instances begin with the same endpoint.
-        """
+        """Set fair shares; start new endpoints at a random phase, else all begin with the same one."""
         total = sum(endpoint.weight for endpoint in self.subset.selected)
         for endpoint in self.subset.selected:
             endpoint.fair_share = FAIR_SHARE_SLACK * endpoint.weight / total if total > 0.0 else 0.0
--- a/alderspool/balancer/slow_start.py
+++ b/alderspool/balancer/slow_start.py
@@ -7,7 +7,7 @@
 from math import inf
 
 from alderspool.balancer.endpoint import EndpointState
-from alderspool.balancer.latency import FIGURE_MEMORY_MS, LatencyEstimates
+from alderspool.balancer.latency_estimates import LatencyEstimates, WorkRate
 from alderspool.balancer.settings import Settings
 
 # Multiple of its stated share of what warm endpoints do that a cold one gets: the stated share is the least
@@ -23,7 +23,7 @@
 
     settings: Settings
     latency: LatencyEstimates
-    work_rate_per_size: float = 0.0  # typical requests per ms and unit of size that warm endpoints serve
+    work_rate: WorkRate
 
     def warm_up_factor(self, endpoint: EndpointState, now: float) -> float:
         """Return the share of its capacity that the endpoint surely has by now."""
@@ -38,10 +38,13 @@
         """Learn from the warm endpoints, and give the others their tokens for the time that has passed."""
         settings = self.settings
         budget_factor = min(BUDGET_FACTOR, OVERLOAD_SHARE * settings.cold_overload_factor)
-        top_size = self._learn_work_rate(endpoints, now, elapsed_ms)
+        warm = [e for e in endpoints if e.warm_up_factor >= 1.0 and not e.consecutive_failures]
+        self.work_rate.learn(warm, now, elapsed_ms)
+        # Live weights sink under load: an empty cold endpoint lists a multiple of the others'.
+        top_size = self.work_rate.mean_size if warm and settings.weights_live else inf
         # What arrives counts retries and rejected work: it serves only until a warm endpoint was seen.
         total_size = sum(endpoint.size for endpoint in endpoints)
-        work_rate = self.work_rate_per_size or self.latency.arrivals.rate / total_size
+        work_rate = self.work_rate.per_size or self.latency.arrivals.rate / total_size
         for endpoint in endpoints:
             endpoint.cold_rate = inf
             factor = endpoint.warm_up_factor
@@ -53,21 +56,3 @@
                 kept = 1.0 + rate * WINDOW_SHARE_KEPT * settings.cold_overload_window_ms
                 if endpoint.cold_tokens > kept:
                     endpoint.cold_tokens -= 1.0
-
-    def _learn_work_rate(self, endpoints: list[EndpointState], now: float, elapsed_ms: float) -> float:
-        """Learn what warm endpoints serve; return the largest size that is believed of a cold one."""
-        served_work = 0.0
-        size = 0.0
-        count = 0
-        for endpoint in endpoints:
-            if endpoint.warm_up_factor >= 1.0 and not endpoint.consecutive_failures:
-                served_work += endpoint.served_work
-                size += endpoint.size
-                count += 1
-        if not size:
-            return inf
-        known_ms = min(FIGURE_MEMORY_MS, now - self.latency.started_at + elapsed_ms)
-        work_rate = served_work / (self.latency.mean_typical_ms * known_ms) / size
-        self.work_rate_per_size += (work_rate - self.work_rate_per_size) * self.latency.arrivals.gain
-        # Live weights sink under load: an empty cold endpoint lists a multiple of the others'.
-        return size / count if self.settings.weights_live else inf
--- a/alderspool/balancer/subset.py
+++ b/alderspool/balancer/subset.py
@@ -1,7 +1,6 @@
 """Subset selection: the part of the endpoint list that this instance uses.
 
 Where many instances meet many endpoints, each would know nothing of any and its connections would idle.
-The subsets of all instances start evenly spread over one order of the list.
 """
 
 from dataclasses import dataclass, field
@@ -9,14 +8,13 @@
 
 from alderspool.balancer.endpoint import EndpointState, rotation_order
 from alderspool.balancer.endpoint_list import EndpointList
-from alderspool.balancer.latency import MIX_MEMORY_MS, MIX_PRIOR_REQUESTS, LatencyEstimates
+from alderspool.balancer.latency import MIX_MEMORY_MS, MIX_PRIOR_REQUESTS
+from alderspool.balancer.latency_estimates import LatencyEstimates
 from alderspool.balancer.outlier_detection import is_outlier
 from alderspool.balancer.settings import Settings
 
 MIN_SUBSET_SIZE = 6  # few enough endpoints to know each, enough to lose some
-INSTANCES_PER_ENDPOINT = (
-    6.0  # the subset is so large that each endpoint is used by about so many, to even out
-)
+INSTANCES_PER_ENDPOINT = 6.0  # the subset is so large that about so many use each endpoint, to even out
 SHRINK_MARGIN = 0.3  # kept though it could shrink by this share: what was learned would be lost
 GOLDEN_RATIO = 0.6180339887  # its multiples are even among any part of the instances
 REMOVED_KEPT_MS = 30_000.0  # removed endpoints keep their place in the order for so long
@@ -60,10 +58,7 @@
         return max(MIN_SUBSET_SIZE, INSTANCES_PER_ENDPOINT * self.ready_count / self.settings.instance_count)
 
     def _wanted_size(self, now: float) -> float:
-        """Return how many endpoints to use: as many times more as this instance has more than its traffic.
-
-        Else an instance with several times its part of the traffic fills the endpoints that it uses alone.
-        """
+        """Return how many endpoints to use: more with more traffic, or a busy instance fills its own."""
         quota_rps = sum(tenant.quota_rps for tenant in self.settings.tenants)
         planned_rate = quota_rps / 1000.0 / self.settings.instance_count  # a mean instance's, per ms
         if planned_rate <= 0.0:
--- a/tests/test_balancer_slow_start.py
+++ b/tests/test_balancer_slow_start.py
@@ -87,7 +87,7 @@
     server = d.endpoints[endpoint_id(1)]
     usual_load = 1.2 * 0.2 * d.policies.latency.arrivals.rate / 10  # as if all ten shared it already
     assert server.cold_rate > 3 * usual_load
-    assert server.cold_rate <= 1.2 * 0.21 * d.policies.slow_start.work_rate_per_size
+    assert server.cold_rate <= 1.2 * 0.21 * d.policies.slow_start.work_rate.per_size
 
 
 def test_live_weight_of_an_empty_cold_endpoint_does_not_look_the_biggest() -> None:
@@ -124,7 +124,7 @@
     d.list_endpoints(1)
     d.serve(400)
     d.update_list(EndpointEntry(endpoint_id(1), started_at_ms=d.now), mode=UpdateMode.DELTA)
-    carried = d.policies.slow_start.work_rate_per_size
+    carried = d.policies.slow_start.work_rate.per_size
     d.policies.latency.arrivals.rate = 50.0 * carried  # a storm of clients' repeats
     d.refresh()
     assert (
@@ -144,7 +144,7 @@
     d.update_list(*loaded, EndpointEntry(endpoint_id(2), weight=1.0, started_at_ms=d.now))
     d.serve(200)
     d.refresh()
-    s, carried = d.endpoints[endpoint_id(2)], d.policies.slow_start.work_rate_per_size
+    s, carried = d.endpoints[endpoint_id(2)], d.policies.slow_start.work_rate.per_size
     assert (
         0.0
         < s.cold_rate
