--- /dev/null
+++ b/tests/test_balancer_containers.py
@@ -0,0 +1,114 @@
+"""General containers, moving averages and the byte codec of load reports."""
+
+from __future__ import annotations
+
+import pytest
+from conftest import endpoint_id
+
+from alderspool.balancer.containers import SlidingWindowCount, bit_reversed, interleave_in_proportion
+from alderspool.balancer.endpoint import EndpointState
+from alderspool.balancer.load_report_codec import (
+    decode_entries,
+    encode_entry,
+    encode_messages,
+    is_well_formed,
+)
+from alderspool.balancer.moving_averages import ArrivalRate, ClassMix, FadingSums, MeansByClass, WorkSums
+from alderspool.balancer.timers import KIND_BITS, KIND_MASK, TimerKind, timer_token
+
+
+def _endpoint(number: int, in_flight: int) -> EndpointState:
+    endpoint = EndpointState.create(endpoint_id(number), class_count=1)
+    endpoint.in_flight = in_flight
+    return endpoint
+
+
+def test_sliding_window_counts_from_its_start_on() -> None:
+    window = SlidingWindowCount()
+    for time in (1.0, 2.0, 2.0, 5.0):
+        window.add(time)
+    assert window.count_since(2.0) == 3
+    assert window.count_since(2.5) == 1
+    assert window.count_since(0.0) == 1  # what was passed once is forgotten
+
+
+@pytest.mark.parametrize(
+    ("groups", "expected"),
+    [
+        pytest.param([], [], id="nothing"),
+        pytest.param([["a"], []], ["a"], id="empty group"),
+        pytest.param([["a", "b"], ["x", "y"]], ["a", "x", "b", "y"], id="equal groups, first one first"),
+        pytest.param([["a", "b", "c", "d"], ["x", "y"]], ["a", "x", "b", "c", "y", "d"], id="two to one"),
+    ],
+)
+def test_interleaves_groups_in_proportion(groups: list[list[str]], expected: list[str]) -> None:
+    assert interleave_in_proportion(groups) == expected
+
+
+def test_bit_reversal_puts_neighbours_far_apart() -> None:
+    assert [bit_reversed(number, 3) for number in range(8)] == [0, 4, 2, 6, 1, 5, 3, 7]
+
+
+def test_class_mix_takes_shares_before_it_fades() -> None:
+    mix = ClassMix([1.0, 3.0])
+    mix.refresh(fade=0.5)
+    assert mix.shares == [0.25, 0.75]
+    assert mix.counts == [0.5, 1.5]
+
+
+def test_mean_leans_on_its_former_value_and_stays_without_samples() -> None:
+    means = MeansByClass([10.0, 10.0], prior_count=3.0, min_count=0.5)
+    means.record(0, 50.0)
+    means.refresh(fade=1.0)
+    assert means.means == [20.0, 10.0]
+
+
+def test_arrival_rate_averages_over_the_time_known() -> None:
+    arrivals = ArrivalRate(memory_ms=1000.0)
+    arrivals.since_refresh = 20.0
+    arrivals.refresh(known_ms=100.0, elapsed_ms=100.0)
+    assert arrivals.rate == 0.2
+    arrivals.refresh(known_ms=200.0, elapsed_ms=100.0)
+    assert arrivals.rate == pytest.approx(0.1)
+    assert arrivals.since_refresh == 0.0
+
+
+def test_sums_fade() -> None:
+    sums = FadingSums(2)
+    sums.values[1] = 4.0
+    sums.fade(0.5)
+    work = WorkSums(4.0, 2.0, 1.0)
+    work.fade(0.5)
+    assert sums.values == [0.0, 2.0]
+    assert work == WorkSums(2.0, 1.0, 0.5)
+
+
+def test_load_reports_survive_the_codec_in_messages_of_limited_size() -> None:
+    endpoints = [_endpoint(number, in_flight=number) for number in range(5)]
+    messages = encode_messages(endpoints, entries_per_message=2)
+    assert [len(message) for message in messages] == [14, 14, 7]
+    decoded = [entry for message in messages for entry in decode_entries(message)]
+    assert decoded == [(endpoint_id(number), number) for number in range(5)]
+
+
+def test_load_report_counts_no_more_than_one_byte_holds() -> None:
+    assert encode_entry(_endpoint(1, in_flight=300)) == endpoint_id(1) + b"\xff"
+
+
+@pytest.mark.parametrize(
+    ("data", "expected"),
+    [
+        pytest.param(b"", False, id="empty"),
+        pytest.param(b"1234567", True, id="one entry"),
+        pytest.param(b"12345671234567", True, id="two entries"),
+        pytest.param(b"123456", False, id="cut"),
+    ],
+)
+def test_recognizes_well_formed_load_reports(data: bytes, expected: bool) -> None:
+    assert is_well_formed(data) is expected
+
+
+@pytest.mark.parametrize("kind", list(TimerKind), ids=lambda kind: kind.name.lower())
+def test_timer_token_carries_kind_and_request(kind: TimerKind) -> None:
+    token = timer_token(kind, 12345)
+    assert (token & KIND_MASK, token >> KIND_BITS) == (kind, 12345)
