--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -61,17 +61,21 @@
         self.lb.refresh.run(self.lb.requests.now)
 
     def handle(self, event: Event) -> list[Action]:
+        """Feed one event; return the actions and keep them in the log."""
         actions = self.lb.handle(self.now, event)
         self.log += actions
         return actions
 
     def update_list(self, *entries: EndpointEntry, mode: int = UpdateMode.FULL) -> list[Action]:
+        """Feed an update of the endpoint list."""
         return self.handle(EndpointListUpdate(mode, [*entries]))
 
     def list_endpoints(self, n: int, **fields: object) -> None:
+        """Feed a complete list of n ready endpoints."""
         self.update_list(*(EndpointEntry(endpoint_id(i), **fields) for i in range(n)))
 
     def request(self, cls: int = 0, left: float | None = None, **fields: object) -> list[Action]:
+        """Feed a request, numbered from 1; `left` is its time left in ms."""
         self.next_id += 1
         left = self.cfg.classes[cls].deadline_ms if left is None else left
         return self.handle(Request(self.next_id, left, cls, **fields))
@@ -80,18 +84,20 @@
         self,
         rid: int,
         attempt: int,
-        server: bytes,
+        endpoint: bytes,
         status: int = AttemptStatus.OK,
         finished: bool | None = None,
     ) -> list[Action]:
+        """Feed the outcome of an attempt."""
         finished = status == AttemptStatus.OK if finished is None else finished
-        return self.handle(Outcome(rid, attempt, server, status, 5.0, finished))
+        return self.handle(Outcome(rid, attempt, endpoint, status, 5.0, finished))
 
     def timer(self, token: int) -> list[Action]:
+        """Fire a timer."""
         return self.handle(TimerFired(token))
 
     def serve(self, n: int, took: float = 5.0, cls: int = 0) -> list[bytes]:
-        """n requests one after the other, each served in `took` ms; the servers that got them."""
+        """Serve n requests one after the other, each in `took` ms; return the endpoints that got them."""
         used = []
         for _ in range(n):
             (send,) = sends(self.request(cls))
--- a/tests/test_balancer_slow_start.py
+++ b/tests/test_balancer_slow_start.py
@@ -17,7 +17,7 @@
 
 
 def _cold_share(cold: int, warm: int, rate: float, seconds: float) -> Counter[bytes]:
-    """What one instance sends to each server, `seconds` after `cold` of them have started."""
+    """Return what one instance sends to each endpoint in the `seconds` after `cold` of them have started."""
     d = Driver(
         initial_capacity_share=0.1,
         slow_start_ms=20000.0,
@@ -44,8 +44,11 @@
 
 @pytest.mark.parametrize(("cold", "warm", "most"), [(1, 9, 5), (5, 5, 5), (9, 1, 25), (10, 0, 5)])
 def test_cold_endpoints_stay_inside_their_budget(cold: int, warm: int, most: int) -> None:
-    """Each usually carries 10 a second; at a tenth of its capacity it may be sent 2.5 a second at most. One
-    that is left warm and is seen to do 90 a second shows that a cold one can do nine."""
+    """A cold endpoint may be sent 2.5 requests a second at most.
+
+    Each usually carries 10 a second, a tenth of which it can do at first. One that is left warm and seen to
+    serve 90 a second shows that a cold one can do nine.
+    """
     counts = _cold_share(cold, warm, rate=100.0, seconds=2.0)
     assert all(1 <= counts[endpoint_id(i)] <= most for i in range(cold))
 
