--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import pytest
-
 from alderspool.balancer.actions import Action, Fail, Reject, Send
 from alderspool.balancer.balancer import Balancer
 from alderspool.balancer.endpoint import EndpointState
@@ -121,8 +119,3 @@
         *(EndpointEntry(bytes((10, i * 7 % 256, 0, i, 31, 144)), zone=i % 2) for i in range(servers))
     )
     return d
-
-
-@pytest.fixture
-def driver() -> type[Driver]:
-    return Driver
--- a/tests/test_balancer_admission_queue.py
+++ b/tests/test_balancer_admission_queue.py
@@ -11,27 +11,27 @@
 
 
 def test_queues_without_ready_endpoint_then_rejects_before_the_deadline() -> None:
-    d = Driver()
-    d.update_list()
-    assert not finals(d.request())
-    end = d.now + IDEMPOTENT.deadline_ms
-    while not finals(d.log) and d.now < end:
-        d.now += 8.0
-        d.timer(QUEUE_TIMER)
-    assert finals(d.log) == [Reject(1, 0.0)]
-    assert d.now < end - 2.0
+    driver = Driver()
+    driver.update_list()
+    assert not finals(driver.request())
+    end = driver.now + IDEMPOTENT.deadline_ms
+    while not finals(driver.log) and driver.now < end:
+        driver.now += 8.0
+        driver.timer(QUEUE_TIMER)
+    assert finals(driver.log) == [Reject(1, 0.0)]
+    assert driver.now < end - 2.0
 
 
 def test_every_queued_request_gets_a_response_before_its_deadline() -> None:
-    d = Driver([RequestClass("a", 200.0, 400.0, late_priority_weight=0.5)])
-    d.update_list()
+    driver = Driver([RequestClass("a", 200.0, 400.0, late_priority_weight=0.5)])
+    driver.update_list()
     for left in (400.0, 90.0, 300.0, 60.0, 200.0):
-        d.request(left=left)
+        driver.request(left=left)
     answered: dict[int, float] = {}
-    start = d.now
-    while len(answered) < 5 and d.now < start + 500.0:
-        d.now += 8.0
-        answered.update({a.id: d.now - start for a in finals(d.timer(QUEUE_TIMER))})
+    start = driver.now
+    while len(answered) < 5 and driver.now < start + 500.0:
+        driver.now += 8.0
+        answered.update({a.id: driver.now - start for a in finals(driver.timer(QUEUE_TIMER))})
     assert all(answered[i + 1] < left for i, left in enumerate((400.0, 90.0, 300.0, 60.0, 200.0)))
 
 
@@ -41,71 +41,71 @@
         RequestClass("dear", 800.0, 2000.0, priority_weight=5.0),
     )
     tenants = [Tenant("a", quota_rps=1000.0), Tenant("b", quota_rps=0.001)]
-    d = Driver([cheap, dear], tenants=tenants, instance_count=2)
-    d.list_endpoints(1)
-    d.policies.limit.total = 1.0
-    d.lb.refresh.last_at = 1e12  # the limit stays
-    (out,) = sends(d.request(0))
+    driver = Driver([cheap, dear], tenants=tenants, instance_count=2)
+    driver.list_endpoints(1)
+    driver.policies.limit.total = 1.0
+    driver.lb.refresh.last_at = 1e12  # the limit stays
+    (out,) = sends(driver.request(0))
     for cls, tenant in ((1, 1), (0, 1), (0, 0), (1, 0), (1, 0), (0, 0)):  # requests 2 to 7
-        assert not sends(d.request(cls, tenant=tenant))
+        assert not sends(driver.request(cls, tenant=tenant))
     order = []
     for _ in range(6):
-        (out,) = sends(d.outcome(out.id, 0, out.endpoint))
+        (out,) = sends(driver.outcome(out.id, 0, out.endpoint))
         order.append(out.id)
     assert order == [6, 5, 7, 4, 2, 3]
 
 
 def test_rejects_queued_request_that_can_no_longer_be_in_time() -> None:
-    d = Driver([UNSAFE], instance_count=2)
-    d.list_endpoints(1)
-    d.serve(200, took=100.0)  # typical: half of the latency objective
-    d.policies.limit.total = 1.0
-    d.lb.refresh.last_at = 1e12
-    sends(d.request())
-    d.request()
-    queued = d.next_id
-    d.now += 60.0  # of the objective of 200: what remains is less than the queue margin
-    assert [a.id for a in finals(d.timer(QUEUE_TIMER))] == [queued]
+    driver = Driver([UNSAFE], instance_count=2)
+    driver.list_endpoints(1)
+    driver.serve(200, took=100.0)  # typical: half of the latency objective
+    driver.policies.limit.total = 1.0
+    driver.lb.refresh.last_at = 1e12
+    sends(driver.request())
+    driver.request()
+    queued = driver.next_id
+    driver.now += 60.0  # of the objective of 200: what remains is less than the queue margin
+    assert [a.id for a in finals(driver.timer(QUEUE_TIMER))] == [queued]
 
 
 def test_fresh_requests_go_before_late_ones() -> None:
-    d = Driver([RequestClass("a", 100.0, 1000.0, late_priority_weight=0.5)])
-    d.list_endpoints(1)
-    d.policies.limit.per_endpoint = 1.0
-    d.lb.refresh.last_at = -1.0  # limits are rebuilt at the next event
-    d.now += 1000.0
-    (busy,) = sends(d.request())
-    d.request()
-    d.now += 80.0
-    d.timer(QUEUE_TIMER)
-    d.request()
-    (send,) = sends(d.outcome(busy.id, 0, busy.endpoint))
+    driver = Driver([RequestClass("a", 100.0, 1000.0, late_priority_weight=0.5)])
+    driver.list_endpoints(1)
+    driver.policies.limit.per_endpoint = 1.0
+    driver.lb.refresh.last_at = -1.0  # limits are rebuilt at the next event
+    driver.now += 1000.0
+    (busy,) = sends(driver.request())
+    driver.request()
+    driver.now += 80.0
+    driver.timer(QUEUE_TIMER)
+    driver.request()
+    (send,) = sends(driver.outcome(busy.id, 0, busy.endpoint))
     assert send.id == 3
 
 
 def test_rejects_client_retry_whose_objective_has_passed() -> None:
-    d = Driver([RequestClass("a", 100.0, 400.0)])
-    d.list_endpoints(2)
+    driver = Driver([RequestClass("a", 100.0, 400.0)])
+    driver.list_endpoints(2)
     for _ in range(400):
-        (send,) = sends(d.request(left=250.0))
-        d.now += 5.0
-        d.outcome(send.id, 0, send.endpoint)
-    assert finals(d.request(left=150.0)) and not sends(d.log[-1:])
-    assert sends(d.request(left=248.0))
+        (send,) = sends(driver.request(left=250.0))
+        driver.now += 5.0
+        driver.outcome(send.id, 0, send.endpoint)
+    assert finals(driver.request(left=150.0)) and not sends(driver.log[-1:])
+    assert sends(driver.request(left=248.0))
 
 
 def test_tenants_over_quota_wait_behind_the_others() -> None:
-    d = Driver(tenants=[Tenant("a", 0.5, 1.0), Tenant("b", 0.5, 1000.0)])
-    d.list_endpoints(1)
-    d.policies.limit.per_endpoint = 1.0
-    d.lb.refresh.last_at = -1.0  # limits are rebuilt at the next event
-    d.now += 1000.0
+    driver = Driver(tenants=[Tenant("a", 0.5, 1.0), Tenant("b", 0.5, 1000.0)])
+    driver.list_endpoints(1)
+    driver.policies.limit.per_endpoint = 1.0
+    driver.lb.refresh.last_at = -1.0  # limits are rebuilt at the next event
+    driver.now += 1000.0
     for _ in range(40):
-        for send in sends(d.request(tenant=0)):
-            d.now += 5.0
-            d.outcome(send.id, 0, send.endpoint)
-    (busy,) = sends(d.request(tenant=1))
-    d.request(tenant=0)
-    d.request(tenant=1)
-    (send,) = sends(d.outcome(busy.id, 0, busy.endpoint))
-    assert send.id == d.next_id
+        for send in sends(driver.request(tenant=0)):
+            driver.now += 5.0
+            driver.outcome(send.id, 0, send.endpoint)
+    (busy,) = sends(driver.request(tenant=1))
+    driver.request(tenant=0)
+    driver.request(tenant=1)
+    (send,) = sends(driver.outcome(busy.id, 0, busy.endpoint))
+    assert send.id == driver.next_id
--- a/tests/test_balancer_concurrency_limit.py
+++ b/tests/test_balancer_concurrency_limit.py
@@ -14,40 +14,40 @@
 class Jam:
     """Keeps more requests coming than may be out; each that is out is answered after `took` ms."""
 
-    def __init__(self, d: Driver) -> None:
-        self.d, self.out = d, list[tuple[float, Send]]()
+    def __init__(self, driver: Driver) -> None:
+        self.driver, self.out = driver, list[tuple[float, Send]]()
 
     def run(self, took: float, seconds: float) -> list[Send]:
-        d, start = self.d, len(self.d.log)
+        driver, start = self.driver, len(self.driver.log)
         for _ in range(int(seconds * 100)):
             actions = []
-            while self.out and self.out[0][0] <= d.now:
+            while self.out and self.out[0][0] <= driver.now:
                 (_, send) = self.out.pop(0)
-                actions += d.outcome(send.id, 0, send.endpoint)
+                actions += driver.outcome(send.id, 0, send.endpoint)
             for _ in range(4):
-                actions += d.request()
-            actions += d.timer(QUEUE_TIMER)
-            self.out += [(d.now + took, send) for send in sends(actions)]
+                actions += driver.request()
+            actions += driver.timer(QUEUE_TIMER)
+            self.out += [(driver.now + took, send) for send in sends(actions)]
             self.out.sort(key=lambda entry: entry[0])
-            d.now += 10.0
-        return sends(d.log[start:])
+            driver.now += 10.0
+        return sends(driver.log[start:])
 
 
 @pytest.fixture
 def jam() -> Jam:
-    d = Driver([UNSAFE], instance_count=2)
-    d.list_endpoints(4)
-    return Jam(d)
+    driver = Driver([UNSAFE], instance_count=2)
+    driver.list_endpoints(4)
+    return Jam(driver)
 
 
 def test_limit_falls_while_responses_are_slow_and_recovers(jam: Jam) -> None:
     jam.run(5.0, 3)
-    healthy = jam.d.policies.limit.per_endpoint
+    healthy = jam.driver.policies.limit.per_endpoint
     jam.run(150.0, 2)  # within the objective of 200, but slow
-    low = jam.d.policies.limit.per_endpoint
+    low = jam.driver.policies.limit.per_endpoint
     assert low < 0.25 * healthy
     jam.run(5.0, 3)
-    assert jam.d.policies.limit.per_endpoint > 2.0 * low
+    assert jam.driver.policies.limit.per_endpoint > 2.0 * low
 
 
 def test_attempts_go_on_however_slow_while_an_endpoint_is_ready(jam: Jam) -> None:
@@ -56,70 +56,78 @@
 
 
 def test_quiesces_all_endpoints_but_one_and_then_that_one(jam: Jam) -> None:
-    d = jam.d
+    driver = jam.driver
     jam.run(150.0, 5)
-    assert d.policies.limit.counts_late_only and d.policies.limit.quiesce_until > d.now + 1000.0
-    texts = [a.text for a in d.log if isinstance(a, Log)]
+    assert (
+        driver.policies.limit.counts_late_only and driver.policies.limit.quiesce_until > driver.now + 1000.0
+    )
+    texts = [a.text for a in driver.log if isinstance(a, Log)]
     assert len(texts) == 1 and texts[0].startswith("quiesce: ")
-    active = d.policies.limit.active_endpoint
+    active = driver.policies.limit.active_endpoint
     assert {s.endpoint for s in jam.run(150.0, 1)} == {active.id}
-    while d.now < d.policies.limit.quiesce_until + 200.0:
+    while driver.now < driver.policies.limit.quiesce_until + 200.0:
         jam.run(150.0, 0.1)
     assert {s.endpoint for s in jam.run(5.0, 3)} == {endpoint_id(i) for i in range(4)} - {active.id}
-    assert not d.policies.limit.counts_late_only  # it was the load: slow counts again
+    assert not driver.policies.limit.counts_late_only  # it was the load: slow counts again
     jam.run(5.0, 3)
     assert active.id in {s.endpoint for s in jam.run(5.0, 1)}
 
 
 def test_quiesce_ends_once_the_active_endpoint_is_quick_again(jam: Jam) -> None:
     jam.run(150.0, 5)
-    assert jam.d.policies.limit.quiesce_until > jam.d.now + 1000.0
+    assert jam.driver.policies.limit.quiesce_until > jam.driver.now + 1000.0
     jam.run(5.0, 0.5)
-    assert jam.d.policies.limit.quiesce_until < jam.d.now and not jam.d.policies.limit.counts_late_only
+    assert (
+        jam.driver.policies.limit.quiesce_until < jam.driver.now
+        and not jam.driver.policies.limit.counts_late_only
+    )
     assert {s.endpoint for s in jam.run(5.0, 0.5)} == {endpoint_id(i) for i in range(4)}
 
 
 def test_silent_endpoint_is_replaced_as_the_active_one_of_a_quiesce(jam: Jam) -> None:
-    d = jam.d
+    driver = jam.driver
     jam.run(150.0, 5)
-    first = d.policies.limit.active_endpoint
-    jam.out = [(d.now + 1e9 if s.endpoint == first.id else at, s) for at, s in jam.out]  # never answered
+    first = driver.policies.limit.active_endpoint
+    jam.out = [(driver.now + 1e9 if s.endpoint == first.id else at, s) for at, s in jam.out]  # never answered
     jam.run(150.0, 1)
-    assert d.policies.limit.active_endpoint is not first
+    assert driver.policies.limit.active_endpoint is not first
     assert len(jam.run(150.0, 1)) >= 5
 
 
 def test_endpoints_slow_by_nature_quiesce_once_and_are_used_again(jam: Jam) -> None:
     jam.run(150.0, 20)
-    assert jam.d.policies.limit.counts_late_only and jam.d.policies.limit.quiesce_until < jam.d.now
-    assert len([a for a in jam.d.log if isinstance(a, Log)]) == 1
+    assert (
+        jam.driver.policies.limit.counts_late_only
+        and jam.driver.policies.limit.quiesce_until < jam.driver.now
+    )
+    assert len([a for a in jam.driver.log if isinstance(a, Log)]) == 1
     assert len(jam.run(150.0, 3)) > 100  # four servers at 150 ms
 
 
 def test_attempts_at_a_stalled_endpoint_take_no_capacity_from_the_others() -> None:
-    d = Driver([UNSAFE], instance_count=2)
-    d.list_endpoints(3)
-    d.serve(60)
-    d.policies.limit.per_endpoint = 2.0
+    driver = Driver([UNSAFE], instance_count=2)
+    driver.list_endpoints(3)
+    driver.serve(60)
+    driver.policies.limit.per_endpoint = 2.0
     stuck = 0
     while stuck < 2:
-        (send,) = sends(d.request())
+        (send,) = sends(driver.request())
         if send.endpoint == endpoint_id(0):
             stuck += 1
         else:
-            d.outcome(send.id, 0, send.endpoint)
-    d.now += 150.0  # silent for longer than a usual latency, by far
-    d.refresh()
-    taken = [s.endpoint for _ in range(6) for s in sends(d.request())]
+            driver.outcome(send.id, 0, send.endpoint)
+    driver.now += 150.0  # silent for longer than a usual latency, by far
+    driver.refresh()
+    taken = [s.endpoint for _ in range(6) for s in sends(driver.request())]
     assert sorted(taken) == sorted([endpoint_id(1), endpoint_id(2)] * 2)
 
 
 def test_limit_does_not_rise_while_it_limits_nothing() -> None:
-    d = Driver([UNSAFE], instance_count=2)
-    d.list_endpoints(4)
-    before = d.policies.limit.per_endpoint
-    d.serve(1000)
-    assert d.policies.limit.per_endpoint == before
+    driver = Driver([UNSAFE], instance_count=2)
+    driver.list_endpoints(4)
+    before = driver.policies.limit.per_endpoint
+    driver.serve(1000)
+    assert driver.policies.limit.per_endpoint == before
 
 
 def test_first_limit_falls_with_the_instances_that_share_an_endpoint() -> None:
--- a/tests/test_balancer_endpoint_list.py
+++ b/tests/test_balancer_endpoint_list.py
@@ -17,32 +17,32 @@
 
 @pytest.mark.parametrize("how", [Availability.DRAINING, Availability.GONE])
 def test_sends_nothing_to_draining_or_removed_endpoint(how: Availability) -> None:
-    d = Driver()
-    d.list_endpoints(2)
-    d.update_list(EndpointEntry(endpoint_id(0), availability=how), mode=UpdateMode.DELTA)
-    assert set(d.serve(10)) == {endpoint_id(1)}
+    driver = Driver()
+    driver.list_endpoints(2)
+    driver.update_list(EndpointEntry(endpoint_id(0), availability=how), mode=UpdateMode.DELTA)
+    assert set(driver.serve(10)) == {endpoint_id(1)}
 
 
 def test_endpoint_missing_from_a_complete_list_is_removed() -> None:
-    d = Driver()
-    d.list_endpoints(3)
-    d.update_list(EndpointEntry(endpoint_id(2)))
-    assert set(d.serve(5)) == {endpoint_id(2)}
-    d.now += 60_000.0
-    d.update_list(EndpointEntry(endpoint_id(2)))
-    assert list(d.endpoints) == [endpoint_id(2)]  # nothing is kept of servers long gone
+    driver = Driver()
+    driver.list_endpoints(3)
+    driver.update_list(EndpointEntry(endpoint_id(2)))
+    assert set(driver.serve(5)) == {endpoint_id(2)}
+    driver.now += 60_000.0
+    driver.update_list(EndpointEntry(endpoint_id(2)))
+    assert list(driver.endpoints) == [endpoint_id(2)]  # nothing is kept of servers long gone
 
 
 def test_polled_discovery_is_watched_and_polled_again_with_backoff() -> None:
-    d = Driver(list_on_request=True)
-    assert d.log == [Watch()]
+    driver = Driver(list_on_request=True)
+    assert driver.log == [Watch()]
     waits = []
     for _ in range(8):
-        (timer,) = d.update_list(mode=UpdateMode.FAILED)
+        (timer,) = driver.update_list(mode=UpdateMode.FAILED)
         waits.append(timer.delay_ms)
-        d.now += timer.delay_ms
-        assert d.timer(timer.token) == [Watch()]
+        driver.now += timer.delay_ms
+        assert driver.timer(timer.token) == [Watch()]
     assert 500.0 <= waits[0] <= 1000.0
     assert (
-        waits[0] < waits[2] and max(waits) <= 4000.0 < d.cfg.list_max_age_ms
+        waits[0] < waits[2] and max(waits) <= 4000.0 < driver.cfg.list_max_age_ms
     )  # a drain counts as notified after 6 s
--- a/tests/test_balancer_hedging.py
+++ b/tests/test_balancer_hedging.py
@@ -12,12 +12,12 @@
 
 def test_hedges_once_and_only_where_allowed() -> None:
     for allowed in (False, True):
-        d = Driver(hedging_allowed=allowed, cancel_allowed=True)
-        d.list_endpoints(3)
-        (send,) = sends(d.request())
-        d.now += 90.0
-        actions = d.timer(timer_token(TimerKind.HEDGE, send.id))
+        driver = Driver(hedging_allowed=allowed, cancel_allowed=True)
+        driver.list_endpoints(3)
+        (send,) = sends(driver.request())
+        driver.now += 90.0
+        actions = driver.timer(timer_token(TimerKind.HEDGE, send.id))
         assert len(sends(actions)) == int(allowed)
     copy = sends(actions)[0]
     assert copy.endpoint != send.endpoint
-    assert d.outcome(1, 1, copy.endpoint) == [Cancel(1, 0)]
+    assert driver.outcome(1, 1, copy.endpoint) == [Cancel(1, 0)]
--- a/tests/test_balancer_key_order.py
+++ b/tests/test_balancer_key_order.py
@@ -17,8 +17,6 @@
 from alderspool.balancer.settings import Idempotency, RequestClass
 from alderspool.balancer.timers import TimerKind, timer_token
 
-S = AttemptStatus
-
 
 def ordered(**settings: object) -> Driver:
     classes = [
@@ -30,78 +28,78 @@
         ),
         RequestClass("c", 400.0, 1500.0),
     ]
-    d = Driver(classes, key_quiesce_ms=50.0, **settings)
-    d.list_endpoints(4)
-    return d
+    driver = Driver(classes, key_quiesce_ms=50.0, **settings)
+    driver.list_endpoints(4)
+    return driver
 
 
-def turn(d: Driver, rid: int) -> list[Action]:
-    return d.timer(timer_token(TimerKind.KEY_TURN, rid))
+def turn(driver: Driver, rid: int) -> list[Action]:
+    return driver.timer(timer_token(TimerKind.KEY_TURN, rid))
 
 
 def test_requests_of_a_key_run_one_at_a_time_over_all_ordered_classes() -> None:
-    d = ordered()
-    (first,) = sends(d.request(0, key=7))
-    assert not sends(d.request(1, key=7)) and not sends(d.request(0, key=7))
-    assert [len(sends(d.request(c, key=k))) for c, k in ((0, 8), (0, 0), (2, 7))] == [1, 1, 1]
-    (second,) = sends(d.outcome(first.id, 0, first.endpoint))
+    driver = ordered()
+    (first,) = sends(driver.request(0, key=7))
+    assert not sends(driver.request(1, key=7)) and not sends(driver.request(0, key=7))
+    assert [len(sends(driver.request(c, key=k))) for c, k in ((0, 8), (0, 0), (2, 7))] == [1, 1, 1]
+    (second,) = sends(driver.outcome(first.id, 0, first.endpoint))
     assert second.id == 2
-    assert not sends(d.outcome(first.id, 0, first.endpoint))  # reported twice: frees nothing
-    (third,) = sends(d.outcome(second.id, 0, second.endpoint, S.CONNECT_FAILED))
+    assert not sends(driver.outcome(first.id, 0, first.endpoint))  # reported twice: frees nothing
+    (third,) = sends(driver.outcome(second.id, 0, second.endpoint, AttemptStatus.CONNECT_FAILED))
     assert third.id == 2  # a retry of the one whose turn it is
 
 
-@pytest.mark.parametrize("status", [S.TIMEOUT, S.RESET, S.CANCELLED])
+@pytest.mark.parametrize("status", [AttemptStatus.TIMEOUT, AttemptStatus.RESET, AttemptStatus.CANCELLED])
 def test_key_quiesces_after_an_attempt_that_may_still_be_running(status: AttemptStatus) -> None:
-    d = ordered()
-    (first,) = sends(d.request(0, key=7))
-    d.request(0, key=7)
-    actions = d.outcome(first.id, 0, first.endpoint, status)
+    driver = ordered()
+    (first,) = sends(driver.request(0, key=7))
+    driver.request(0, key=7)
+    actions = driver.outcome(first.id, 0, first.endpoint, status)
     assert finals(actions) == [Fail(1)] and not sends(actions)
-    d.now += 49.0
-    assert not sends(turn(d, 2))
-    d.now += 1.1
-    assert [s.id for s in sends(turn(d, 2))] == [2]
-    assert not sends(turn(d, 2))  # once
+    driver.now += 49.0
+    assert not sends(turn(driver, 2))
+    driver.now += 1.1
+    assert [s.id for s in sends(turn(driver, 2))] == [2]
+    assert not sends(turn(driver, 2))  # once
 
 
 def test_quiesce_of_a_key_outlives_its_empty_queue_but_not_for_ever() -> None:
-    d = ordered()
-    (first,) = sends(d.request(0, key=7))
-    d.outcome(first.id, 0, first.endpoint, S.RESET)
-    d.now += 20.0
-    d.refresh()
-    assert not sends(d.request(0, key=7))
-    d.now += 31.0
-    (second,) = sends(turn(d, 2))
-    d.outcome(second.id, 0, second.endpoint)
-    d.now += 600.0
-    d.request(2)
-    assert d.policies.queue.key_queues.by_key == {}
+    driver = ordered()
+    (first,) = sends(driver.request(0, key=7))
+    driver.outcome(first.id, 0, first.endpoint, AttemptStatus.RESET)
+    driver.now += 20.0
+    driver.refresh()
+    assert not sends(driver.request(0, key=7))
+    driver.now += 31.0
+    (second,) = sends(turn(driver, 2))
+    driver.outcome(second.id, 0, second.endpoint)
+    driver.now += 600.0
+    driver.request(2)
+    assert driver.policies.queue.key_queues.by_key == {}
 
 
 def test_finished_request_blocks_its_key_until_its_attempt_has_ended() -> None:
-    d = ordered()
-    (first,) = sends(d.request(0, key=7))
-    d.handle(ClientDisconnected(1))
-    assert not sends(d.request(0, key=7))
-    assert [s.id for s in sends(d.outcome(first.id, 0, first.endpoint))] == [2]
+    driver = ordered()
+    (first,) = sends(driver.request(0, key=7))
+    driver.handle(ClientDisconnected(1))
+    assert not sends(driver.request(0, key=7))
+    assert [s.id for s in sends(driver.outcome(first.id, 0, first.endpoint))] == [2]
 
 
 def test_request_waiting_for_its_key_is_rejected_in_time_and_frees_the_next() -> None:
-    d = ordered()
-    (first,) = sends(d.request(0, key=7))
-    d.policies.queue.alike_share = [0.0] * 3  # clients differ: less time is no sign of a client retry
-    d.request(0, key=7, left=300.0)
-    d.request(0, key=7)
-    d.now += 291.0
-    assert finals(turn(d, 2)) == [Reject(2, 0.0)]
-    assert [s.id for s in sends(d.outcome(first.id, 0, first.endpoint))] == [3]
+    driver = ordered()
+    (first,) = sends(driver.request(0, key=7))
+    driver.policies.queue.alike_share = [0.0] * 3  # clients differ: less time is no sign of a client retry
+    driver.request(0, key=7, left=300.0)
+    driver.request(0, key=7)
+    driver.now += 291.0
+    assert finals(turn(driver, 2)) == [Reject(2, 0.0)]
+    assert [s.id for s in sends(driver.outcome(first.id, 0, first.endpoint))] == [3]
 
 
 def test_rejects_at_once_with_retry_after_what_its_key_cannot_serve_in_time() -> None:
-    d = ordered(retry_after=True)
-    d.policies.latency.typical_ms[:] = [150.0] * 3
-    d.request(0, key=7)
-    assert not finals(d.request(0, key=7))
-    assert finals(d.request(0, key=7)) == [Reject(3, 400.0)]
+    driver = ordered(retry_after=True)
+    driver.policies.latency.typical_ms[:] = [150.0] * 3
+    driver.request(0, key=7)
+    assert not finals(driver.request(0, key=7))
+    assert finals(driver.request(0, key=7)) == [Reject(3, 400.0)]
--- a/tests/test_balancer_load_reports.py
+++ b/tests/test_balancer_load_reports.py
@@ -13,45 +13,45 @@
 
 
 def test_reported_load_counts_until_the_peer_falls_silent() -> None:
-    d = Driver(peer_messages_allowed=True, instance_count=3)
-    d.list_endpoints(2)
-    d.policies.limit.per_endpoint = 2.0
-    d.lb.refresh.last_at = -1.0  # limits are rebuilt at the next event
-    d.now += 1000.0
-    d.handle(PeerMessage(1, endpoint_id(0) + bytes((9,))))
-    d.handle(PeerMessage(2, endpoint_id(0) + bytes((0,))))
-    d.now += 500.0
-    assert {sends(d.request())[0].endpoint for _ in range(2)} == {endpoint_id(1)}
-    d.now += 5000.0
-    d.request()
-    assert d.endpoints[endpoint_id(0)].peer_in_flight == 0
+    driver = Driver(peer_messages_allowed=True, instance_count=3)
+    driver.list_endpoints(2)
+    driver.policies.limit.per_endpoint = 2.0
+    driver.lb.refresh.last_at = -1.0  # limits are rebuilt at the next event
+    driver.now += 1000.0
+    driver.handle(PeerMessage(1, endpoint_id(0) + bytes((9,))))
+    driver.handle(PeerMessage(2, endpoint_id(0) + bytes((0,))))
+    driver.now += 500.0
+    assert {sends(driver.request())[0].endpoint for _ in range(2)} == {endpoint_id(1)}
+    driver.now += 5000.0
+    driver.request()
+    assert driver.endpoints[endpoint_id(0)].peer_in_flight == 0
 
 
 def test_instance_keeps_its_own_share_of_the_limit() -> None:
-    d = Driver(peer_messages_allowed=True, instance_count=2)
-    d.list_endpoints(1)
-    d.policies.limit.per_endpoint = 4.0
-    d.lb.refresh.last_at = -1.0  # limits are rebuilt at the next event
-    d.now += 1000.0
-    d.handle(PeerMessage(1, endpoint_id(0) + bytes((9,))))
-    d.now += 500.0
-    assert [len(sends(d.request())) for _ in range(3)] == [1, 1, 0]
+    driver = Driver(peer_messages_allowed=True, instance_count=2)
+    driver.list_endpoints(1)
+    driver.policies.limit.per_endpoint = 4.0
+    driver.lb.refresh.last_at = -1.0  # limits are rebuilt at the next event
+    driver.now += 1000.0
+    driver.handle(PeerMessage(1, endpoint_id(0) + bytes((9,))))
+    driver.now += 500.0
+    assert [len(sends(driver.request())) for _ in range(3)] == [1, 1, 0]
 
 
 def test_reports_only_endpoints_that_the_peer_shares() -> None:
-    d = Driver(peer_messages_allowed=True, instance_count=7)
-    d.list_endpoints(2)
-    d.handle(PeerMessage(6, endpoint_id(0) + bytes((0,))))
-    reports = [(a.peer, a.data[:6]) for _ in range(2) for a in d.request() if isinstance(a, SendToPeer)]
+    driver = Driver(peer_messages_allowed=True, instance_count=7)
+    driver.list_endpoints(2)
+    driver.handle(PeerMessage(6, endpoint_id(0) + bytes((0,))))
+    reports = [(a.peer, a.data[:6]) for _ in range(2) for a in driver.request() if isinstance(a, SendToPeer)]
     assert reports == [(6, endpoint_id(0))]
-    hello = [a for a in d.timer(LOAD_REPORT_TIMER) if isinstance(a, SendToPeer)]
+    hello = [a for a in driver.timer(LOAD_REPORT_TIMER) if isinstance(a, SendToPeer)]
     assert [(a.peer, a.data) for a in hello] == [(None, endpoint_id(0) + b"\1" + endpoint_id(1) + b"\1")]
 
 
 def test_reports_nothing_where_many_instances_share_an_endpoint() -> None:
-    d = Driver(peer_messages_allowed=True, instance_count=50)
-    d.list_endpoints(2)
-    d.handle(PeerMessage(6, endpoint_id(0) + bytes((0,))))
-    d.serve(3)
-    d.timer(LOAD_REPORT_TIMER)
-    assert not [a for a in d.log if isinstance(a, SendToPeer)]
+    driver = Driver(peer_messages_allowed=True, instance_count=50)
+    driver.list_endpoints(2)
+    driver.handle(PeerMessage(6, endpoint_id(0) + bytes((0,))))
+    driver.serve(3)
+    driver.timer(LOAD_REPORT_TIMER)
+    assert not [a for a in driver.log if isinstance(a, SendToPeer)]
--- a/tests/test_balancer_outlier_detection.py
+++ b/tests/test_balancer_outlier_detection.py
@@ -13,105 +13,105 @@
 )
 from alderspool.balancer.settings import RequestClass, Tenant
 
-S = AttemptStatus
-
 
 def test_attempts_lost_in_one_pause_are_one_failure() -> None:
-    d = Driver([UNSAFE])
-    d.list_endpoints(1)
-    d.policies.limit.per_endpoint = 10.0
-    d.lb.refresh.last_at = -1.0  # limits are rebuilt at the next event
-    d.serve(3)
-    lost = [sends(d.request())[0] for _ in range(5)]
-    d.now += 400.0
+    driver = Driver([UNSAFE])
+    driver.list_endpoints(1)
+    driver.policies.limit.per_endpoint = 10.0
+    driver.lb.refresh.last_at = -1.0  # limits are rebuilt at the next event
+    driver.serve(3)
+    lost = [sends(driver.request())[0] for _ in range(5)]
+    driver.now += 400.0
     for send in lost:
-        d.outcome(send.id, 0, send.endpoint, S.TIMEOUT)
-    assert d.endpoints[endpoint_id(0)].consecutive_failures == 1
+        driver.outcome(send.id, 0, send.endpoint, AttemptStatus.TIMEOUT)
+    assert driver.endpoints[endpoint_id(0)].consecutive_failures == 1
 
 
 def test_timeout_of_an_attempt_sent_too_late_is_no_failure_of_the_endpoint() -> None:
-    d = Driver([UNSAFE])
-    d.list_endpoints(1)
-    (send,) = sends(d.request())
-    d.now += 60.0
-    d.outcome(send.id, 0, send.endpoint, S.TIMEOUT)
-    assert d.endpoints[endpoint_id(0)].consecutive_failures == 0
+    driver = Driver([UNSAFE])
+    driver.list_endpoints(1)
+    (send,) = sends(driver.request())
+    driver.now += 60.0
+    driver.outcome(send.id, 0, send.endpoint, AttemptStatus.TIMEOUT)
+    assert driver.endpoints[endpoint_id(0)].consecutive_failures == 0
 
 
-def _fail(d: Driver, bad: set[bytes], rounds: int) -> None:
+def _fail(driver: Driver, bad: set[bytes], rounds: int) -> None:
     for _ in range(rounds):
-        for send in sends(d.request()):
-            d.now += 30.0
-            d.outcome(send.id, 0, send.endpoint, S.ERROR if send.endpoint in bad else S.OK)
+        for send in sends(driver.request()):
+            driver.now += 30.0
+            driver.outcome(
+                send.id, 0, send.endpoint, AttemptStatus.ERROR if send.endpoint in bad else AttemptStatus.OK
+            )
 
 
 def test_failing_endpoint_is_ejected_and_returns_after_a_served_trial() -> None:
-    d = Driver([UNSAFE])
-    d.list_endpoints(4)
-    _fail(d, {endpoint_id(0)}, 150)
-    assert any(isinstance(a, Log) and a.text.startswith("eject 0a0000") for a in d.log)
-    d.now += 200.0
-    assert endpoint_id(0) not in d.serve(5)
-    d.now += 10000.0
-    assert endpoint_id(0) in d.serve(200)
-    assert d.endpoints[endpoint_id(0)].consecutive_failures == 0
+    driver = Driver([UNSAFE])
+    driver.list_endpoints(4)
+    _fail(driver, {endpoint_id(0)}, 150)
+    assert any(isinstance(a, Log) and a.text.startswith("eject 0a0000") for a in driver.log)
+    driver.now += 200.0
+    assert endpoint_id(0) not in driver.serve(5)
+    driver.now += 10000.0
+    assert endpoint_id(0) in driver.serve(200)
+    assert driver.endpoints[endpoint_id(0)].consecutive_failures == 0
 
 
 def test_panic_keeps_back_off_short_when_most_endpoints_fail() -> None:
-    d = Driver([UNSAFE])
-    d.list_endpoints(4)
-    _fail(d, {endpoint_id(i) for i in range(4)}, 60)
-    d.now += 60.0  # a usual latency, not the seconds that a single bad server is left alone
-    assert sends(d.request())
+    driver = Driver([UNSAFE])
+    driver.list_endpoints(4)
+    _fail(driver, {endpoint_id(i) for i in range(4)}, 60)
+    driver.now += 60.0  # a usual latency, not the seconds that a single bad server is left alone
+    assert sends(driver.request())
 
 
 def test_timeout_opens_circuit_only_if_others_were_served_meanwhile() -> None:
     for others in (0, 1):
-        d = Driver([IDEMPOTENT, IDEMPOTENT], tenants=[Tenant("a")])
-        d.list_endpoints(1)
-        (s,) = d.endpoints.values()
-        sends(d.request(0))
+        driver = Driver([IDEMPOTENT, IDEMPOTENT], tenants=[Tenant("a")])
+        driver.list_endpoints(1)
+        (s,) = driver.endpoints.values()
+        sends(driver.request(0))
         for _ in range(others):
-            (send,) = sends(d.request(1))
-            d.outcome(send.id, 0, send.endpoint)
-        d.now += 400.0
-        d.outcome(1, 0, s.id, S.TIMEOUT, finished=True)
+            (send,) = sends(driver.request(1))
+            driver.outcome(send.id, 0, send.endpoint)
+        driver.now += 400.0
+        driver.outcome(1, 0, s.id, AttemptStatus.TIMEOUT, finished=True)
         assert bool(s.circuits) == bool(others)
 
 
 def _kinds(**settings: object) -> Driver:
-    d = Driver([RequestClass(name, 200.0, 400.0) for name in "ab"], **settings)
-    d.list_endpoints(2)
-    return d
+    driver = Driver([RequestClass(name, 200.0, 400.0) for name in "ab"], **settings)
+    driver.list_endpoints(2)
+    return driver
 
 
-@pytest.mark.parametrize("status", [S.ERROR, S.REJECTED])
+@pytest.mark.parametrize("status", [AttemptStatus.ERROR, AttemptStatus.REJECTED])
 def test_circuit_opens_only_for_the_class_that_fails(status: AttemptStatus) -> None:
-    d = _kinds()
-    (send,) = sends(d.request(0))
-    d.outcome(send.id, 0, send.endpoint, status)
-    for send in sends(d.log)[1:]:
-        d.outcome(send.id, 1, send.endpoint)
-    bad = sends(d.log)[0].endpoint
-    d.now += 100.0
-    assert bad not in d.serve(10, cls=0) and bad in d.serve(10, cls=1)
-    d.now += 3000.0
-    assert bad in d.serve(10, cls=0)  # tried again
+    driver = _kinds()
+    (send,) = sends(driver.request(0))
+    driver.outcome(send.id, 0, send.endpoint, status)
+    for send in sends(driver.log)[1:]:
+        driver.outcome(send.id, 1, send.endpoint)
+    bad = sends(driver.log)[0].endpoint
+    driver.now += 100.0
+    assert bad not in driver.serve(10, cls=0) and bad in driver.serve(10, cls=1)
+    driver.now += 3000.0
+    assert bad in driver.serve(10, cls=0)  # tried again
 
 
 def test_circuit_of_a_tenant_opens_only_once_two_of_its_classes_failed() -> None:
-    d = _kinds(tenants=[Tenant("x"), Tenant("y")])
-    s = d.endpoints[endpoint_id(0)]
+    driver = _kinds(tenants=[Tenant("x"), Tenant("y")])
+    s = driver.endpoints[endpoint_id(0)]
 
     def fail(cls: int, tenant: int) -> None:
         s.blocked_until, s.last_failure_at = 0.0, -1.0
-        for other in d.endpoints.values():
-            other.blocked_until = 0.0 if other is s else d.now + 1.0
-        (send,) = sends(d.request(cls, tenant=tenant))
-        d.outcome(send.id, 0, send.endpoint, S.REJECTED)
+        for other in driver.endpoints.values():
+            other.blocked_until = 0.0 if other is s else driver.now + 1.0
+        (send,) = sends(driver.request(cls, tenant=tenant))
+        driver.outcome(send.id, 0, send.endpoint, AttemptStatus.REJECTED)
 
     def is_open(key: tuple[int, int]) -> bool:
-        return key in s.circuits and s.circuits[key].open_until > d.now
+        return key in s.circuits and s.circuits[key].open_until > driver.now
 
     fail(0, 1)
     assert is_open((0, 1)) and not is_open((0, -1)) and not is_open((-1, 1))
@@ -120,18 +120,18 @@
 
 
 def test_attempt_is_written_off_after_four_later_responses() -> None:
-    d = Driver([UNSAFE])
-    d.list_endpoints(1)
-    (s,) = d.endpoints.values()
+    driver = Driver([UNSAFE])
+    driver.list_endpoints(1)
+    (s,) = driver.endpoints.values()
     s.limit = s.own_limit = 2
-    d.lb.refresh.last_at = 1e12  # the limit stays
-    assert len(sends(d.request())) == 1  # swallowed
+    driver.lb.refresh.last_at = 1e12  # the limit stays
+    assert len(sends(driver.request())) == 1  # swallowed
     for _ in range(4):
         assert s.written_off == 0
-        (send,) = sends(d.request())
-        d.now += 5.0
-        d.outcome(send.id, 0, send.endpoint)
+        (send,) = sends(driver.request())
+        driver.now += 5.0
+        driver.outcome(send.id, 0, send.endpoint)
     assert (s.in_flight, s.written_off) == (1, 1)
-    assert [len(sends(d.request())) for _ in range(3)] == [1, 1, 0]  # both places are free
-    d.outcome(1, 0, s.id, S.TIMEOUT)
+    assert [len(sends(driver.request())) for _ in range(3)] == [1, 1, 0]  # both places are free
+    driver.outcome(1, 0, s.id, AttemptStatus.TIMEOUT)
     assert (s.in_flight, s.written_off, len(s.later_responses)) == (2, 0, 2)
--- a/tests/test_balancer_slow_start.py
+++ b/tests/test_balancer_slow_start.py
@@ -13,32 +13,33 @@
     UpdateMode,
 )
 
-S = AttemptStatus
-
 
 def _cold_share(cold: int, warm: int, rate: float, seconds: float) -> Counter[bytes]:
     """Return what one instance sends to each endpoint in the `seconds` after `cold` of them have started."""
-    d = Driver(
+    driver = Driver(
         initial_capacity_share=0.1,
         slow_start_ms=20000.0,
         cold_overload_window_ms=1000.0,
         cold_overload_factor=2.5,
     )
-    d.list_endpoints(cold + warm)
-    d.policies.limit.per_endpoint = 50.0
-    d.lb.refresh.last_at = -1.0  # limits are rebuilt at the next event
-    d.now += 60000.0
+    driver.list_endpoints(cold + warm)
+    driver.policies.limit.per_endpoint = 50.0
+    driver.lb.refresh.last_at = -1.0  # limits are rebuilt at the next event
+    driver.now += 60000.0
     for _ in range(int(rate * 10)):
-        d.serve(1, took=1000.0 / rate)
-    d.update_list(
-        *(EndpointEntry(endpoint_id(i), started_at_ms=d.now if i < cold else 0.0) for i in range(cold + warm))
+        driver.serve(1, took=1000.0 / rate)
+    driver.update_list(
+        *(
+            EndpointEntry(endpoint_id(i), started_at_ms=driver.now if i < cold else 0.0)
+            for i in range(cold + warm)
+        )
     )
     counts: Counter[bytes] = Counter()
     for _ in range(int(rate * seconds)):
-        for send in sends(d.request()):
+        for send in sends(driver.request()):
             counts[send.endpoint] += 1
-            d.outcome(send.id, 0, send.endpoint)
-        d.now += 1000.0 / rate
+            driver.outcome(send.id, 0, send.endpoint)
+        driver.now += 1000.0 / rate
     return counts
 
 
@@ -54,89 +55,95 @@
 
 
 def test_instance_that_has_just_started_keeps_the_budget() -> None:
-    d = Driver(initial_capacity_share=0.1, slow_start_ms=20000.0, cold_overload_window_ms=1000.0)
-    d.update_list(
-        *(EndpointEntry(endpoint_id(i), started_at_ms=d.now - 100.0) for i in range(10)),
+    driver = Driver(initial_capacity_share=0.1, slow_start_ms=20000.0, cold_overload_window_ms=1000.0)
+    driver.update_list(
+        *(EndpointEntry(endpoint_id(i), started_at_ms=driver.now - 100.0) for i in range(10)),
         mode=UpdateMode.CACHED,
     )
     counts: Counter[bytes] = Counter()
     for _ in range(100):
-        counts.update(s.endpoint for s in sends(d.request()))
-        d.now += 10.0
+        counts.update(s.endpoint for s in sends(driver.request()))
+        driver.now += 10.0
     assert max(counts.values(), default=0) <= 3
 
 
 def test_endpoint_back_from_refused_connections_counts_as_cold() -> None:
-    d = Driver(initial_capacity_share=0.1, slow_start_ms=20000.0)
-    d.list_endpoints(2)
-    s = d.endpoints[endpoint_id(0)]
+    driver = Driver(initial_capacity_share=0.1, slow_start_ms=20000.0)
+    driver.list_endpoints(2)
+    s = driver.endpoints[endpoint_id(0)]
     for down in (True, False):
         for _ in range(1000):
-            for send in sends(d.request()):
-                d.now += 10.0
+            for send in sends(driver.request()):
+                driver.now += 10.0
                 bad = down and send.endpoint == endpoint_id(0)
-                for again in sends(d.outcome(send.id, 0, send.endpoint, S.CONNECT_FAILED if bad else S.OK)):
-                    d.outcome(again.id, 1, again.endpoint)
+                for again in sends(
+                    driver.outcome(
+                        send.id, 0, send.endpoint, AttemptStatus.CONNECT_FAILED if bad else AttemptStatus.OK
+                    )
+                ):
+                    driver.outcome(again.id, 1, again.endpoint)
         assert s.is_process_lost == down
-    assert 0.1 <= d.policies.slow_start.warm_up_factor(s, d.lb.requests.now) < 1.0
+    assert 0.1 <= driver.policies.slow_start.warm_up_factor(s, driver.lb.requests.now) < 1.0
 
 
 def test_cold_budget_follows_what_warm_endpoints_serve() -> None:
-    d = Driver([UNSAFE], initial_capacity_share=0.2, slow_start_ms=20_000.0)
-    d.list_endpoints(1)
-    d.serve(400)  # one warm server carries all of it
-    cold = [EndpointEntry(endpoint_id(i), started_at_ms=d.now) for i in range(1, 10)]
-    d.update_list(*cold, mode=UpdateMode.DELTA)
-    server = d.endpoints[endpoint_id(1)]
-    usual_load = 1.2 * 0.2 * d.policies.latency.arrivals.rate / 10  # as if all ten shared it already
+    driver = Driver([UNSAFE], initial_capacity_share=0.2, slow_start_ms=20_000.0)
+    driver.list_endpoints(1)
+    driver.serve(400)  # one warm server carries all of it
+    cold = [EndpointEntry(endpoint_id(i), started_at_ms=driver.now) for i in range(1, 10)]
+    driver.update_list(*cold, mode=UpdateMode.DELTA)
+    server = driver.endpoints[endpoint_id(1)]
+    usual_load = 1.2 * 0.2 * driver.policies.latency.arrivals.rate / 10  # as if all ten shared it already
     assert server.cold_rate > 3 * usual_load
-    assert server.cold_rate <= 1.2 * 0.21 * d.policies.slow_start.work_rate.per_size
+    assert server.cold_rate <= 1.2 * 0.21 * driver.policies.slow_start.work_rate.per_size
 
 
 def test_live_weight_of_an_empty_cold_endpoint_does_not_look_the_biggest() -> None:
-    d = Driver(weights_live=True)
-    d.list_endpoints(3, weight=4.0)
+    driver = Driver(weights_live=True)
+    driver.list_endpoints(3, weight=4.0)
     loaded = [EndpointEntry(endpoint_id(i), weight=1.0) for i in (0, 1)]
-    d.update_list(
-        *loaded, EndpointEntry(endpoint_id(2), weight=4.0, started_at_ms=d.now), mode=UpdateMode.DELTA
+    driver.update_list(
+        *loaded, EndpointEntry(endpoint_id(2), weight=4.0, started_at_ms=driver.now), mode=UpdateMode.DELTA
     )
-    assert [s.size for s in d.endpoints.values()] == [4.0, 4.0, 4.0]
+    assert [s.size for s in driver.endpoints.values()] == [4.0, 4.0, 4.0]
 
 
 def test_unused_cold_tokens_lapse_and_instances_start_at_different_levels() -> None:
     levels = set()
     for seed in range(20):
-        d = Driver(seed=seed, instance_count=200, cold_overload_factor=1.5, cold_overload_window_ms=1500.0)
-        d.list_endpoints(3)
-        d.update_list(EndpointEntry(endpoint_id(0), started_at_ms=d.now), mode=UpdateMode.DELTA)
-        s = d.endpoints[endpoint_id(0)]
+        driver = Driver(
+            seed=seed, instance_count=200, cold_overload_factor=1.5, cold_overload_window_ms=1500.0
+        )
+        driver.list_endpoints(3)
+        driver.update_list(EndpointEntry(endpoint_id(0), started_at_ms=driver.now), mode=UpdateMode.DELTA)
+        s = driver.endpoints[endpoint_id(0)]
         levels.add(s.cold_tokens)
         assert 0.0 <= s.cold_tokens < 1.0
-        d.policies.latency.arrivals.rate = 0.005
+        driver.policies.latency.arrivals.rate = 0.005
         for _ in range(40):
-            d.now += 500.0
-            d.refresh()
-            d.policies.latency.arrivals.rate = 0.005
+            driver.now += 500.0
+            driver.refresh()
+            driver.policies.latency.arrivals.rate = 0.005
             if s.cold_rate < 1.0:
                 assert s.cold_tokens <= 1.0 + s.cold_rate * 375.0 + 1e-9
     assert len(levels) == 20
 
 
 def test_rejected_work_does_not_raise_the_cold_budget() -> None:
-    d = Driver([UNSAFE], cold_overload_factor=1.5, initial_capacity_share=0.2, slow_start_ms=20_000.0)
-    d.list_endpoints(1)
-    d.serve(400)
-    d.update_list(EndpointEntry(endpoint_id(1), started_at_ms=d.now), mode=UpdateMode.DELTA)
-    carried = d.policies.slow_start.work_rate.per_size
-    d.policies.latency.arrivals.rate = 50.0 * carried  # a storm of clients' repeats
-    d.refresh()
+    driver = Driver([UNSAFE], cold_overload_factor=1.5, initial_capacity_share=0.2, slow_start_ms=20_000.0)
+    driver.list_endpoints(1)
+    driver.serve(400)
+    driver.update_list(EndpointEntry(endpoint_id(1), started_at_ms=driver.now), mode=UpdateMode.DELTA)
+    carried = driver.policies.slow_start.work_rate.per_size
+    driver.policies.latency.arrivals.rate = 50.0 * carried  # a storm of clients' repeats
+    driver.refresh()
     assert (
-        0.0 < d.endpoints[endpoint_id(1)].cold_rate <= 1.01 * 0.9 * 0.2 * carried
+        0.0 < driver.endpoints[endpoint_id(1)].cold_rate <= 1.01 * 0.9 * 0.2 * carried
     )  # 0.6 of the multiple that tips it
 
 
 def test_live_weights_give_cold_endpoints_no_more_than_the_mean_size() -> None:
-    d = Driver(
+    driver = Driver(
         [UNSAFE],
         weights_live=True,
         cold_overload_factor=1.5,
@@ -144,12 +151,12 @@
         slow_start_ms=20_000.0,
     )
     loaded = [EndpointEntry(endpoint_id(i), weight=0.2) for i in (0, 1)]
-    d.update_list(*loaded, EndpointEntry(endpoint_id(2), weight=1.0, started_at_ms=d.now))
-    d.serve(200)
-    d.refresh()
-    s, carried = d.endpoints[endpoint_id(2)], d.policies.slow_start.work_rate.per_size
+    driver.update_list(*loaded, EndpointEntry(endpoint_id(2), weight=1.0, started_at_ms=driver.now))
+    driver.serve(200)
+    driver.refresh()
+    s, carried = driver.endpoints[endpoint_id(2)], driver.policies.slow_start.work_rate.per_size
     assert (
         0.0
         < s.cold_rate
-        <= 0.9 * d.policies.slow_start.warm_up_factor(s, d.lb.requests.now) * 0.2 * carried * 1.01
+        <= 0.9 * driver.policies.slow_start.warm_up_factor(s, driver.lb.requests.now) * 0.2 * carried * 1.01
     )
--- a/tests/test_balancer_subset.py
+++ b/tests/test_balancer_subset.py
@@ -25,22 +25,26 @@
 
 
 def test_outliers_do_not_fill_the_subset() -> None:
-    d = fleet(0, 200, 100)
-    before = {s.id for s in d.selected}
-    for s in d.selected[:5]:
+    driver = fleet(0, 200, 100)
+    before = {s.id for s in driver.selected}
+    for s in driver.selected[:5]:
         s.consecutive_failures = 5
-    d.now += 1000.0
-    d.request()
-    after = {s.id for s in d.selected}
+    driver.now += 1000.0
+    driver.request()
+    after = {s.id for s in driver.selected}
     assert before < after and len(after) == len(before) + 5
 
 
 def test_returning_endpoint_finds_its_place_in_the_subset() -> None:
-    d = fleet(3, 200, 100)
-    before = [s.id for s in d.selected]
-    lost = [EndpointEntry(i, zone=d.endpoints[i].zone, availability=Availability.GONE) for i in before[:2]]
-    d.update_list(*lost, mode=UpdateMode.DELTA)
-    assert len(d.selected) == 6 and set(before[2:]) < {s.id for s in d.selected}
-    d.now += 5000.0
-    d.update_list(*(EndpointEntry(i, zone=d.endpoints[i].zone) for i in before[:2]), mode=UpdateMode.DELTA)
-    assert [s.id for s in d.selected] == before
+    driver = fleet(3, 200, 100)
+    before = [s.id for s in driver.selected]
+    lost = [
+        EndpointEntry(i, zone=driver.endpoints[i].zone, availability=Availability.GONE) for i in before[:2]
+    ]
+    driver.update_list(*lost, mode=UpdateMode.DELTA)
+    assert len(driver.selected) == 6 and set(before[2:]) < {s.id for s in driver.selected}
+    driver.now += 5000.0
+    driver.update_list(
+        *(EndpointEntry(i, zone=driver.endpoints[i].zone) for i in before[:2]), mode=UpdateMode.DELTA
+    )
+    assert [s.id for s in driver.selected] == before
