--- /dev/null
+++ b/tests/test_balancer_connection_health.py
@@ -0,0 +1,47 @@
+"""Which connections are trusted or preferred."""
+
+from __future__ import annotations
+
+from conftest import UNSAFE, Driver, sends
+
+from alderspool.balancer.actions import (
+    CloseIdle,
+    Send,
+    SetTimer,
+)
+from alderspool.balancer.events import (
+    AttemptStatus,
+)
+
+
+def test_prefers_open_connections_where_connects_often_fail() -> None:
+    driver = Driver([UNSAFE])
+    driver.list_endpoints(3)
+    (send,) = sends(driver.request())
+    driver.outcome(send.id, 0, send.endpoint)  # one connection is open now
+    assert len(set(driver.serve(6))) == 3
+    for s in driver.endpoints.values():
+        s.connections = int(s.id == send.endpoint)
+    driver.policies.connections.connect_failure_share = 0.5
+    assert set(driver.serve(6)) == {send.endpoint}
+    driver.request()
+    assert sends(driver.request())  # a preference: with none free, a new one is opened
+
+
+def test_reopens_connections_idle_for_as_long_as_a_lost_one() -> None:
+    driver = Driver([UNSAFE])
+    driver.list_endpoints(1)
+    driver.serve(3)
+    assert not [a for a in driver.log if isinstance(a, CloseIdle)]
+    driver.now += 1000.0
+    (send,) = sends(driver.request())
+    driver.now += 300.0
+    driver.outcome(send.id, 0, send.endpoint, AttemptStatus.RESET)
+    driver.now += 500.0
+    driver.serve(1)
+    driver.now += 800.0
+    assert [type(a) for a in driver.request() if not isinstance(a, SetTimer)] == [CloseIdle, Send]
+    driver.policies.connections.connect_failure_share = 0.5  # but not where connects fail
+    driver.outcome(driver.next_id, 0, send.endpoint)
+    driver.now += 800.0
+    assert not [a for a in driver.request() if isinstance(a, CloseIdle)]
--- /dev/null
+++ b/tests/test_balancer_subset.py
@@ -0,0 +1,50 @@
+"""Subset selection over many instances and endpoints."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from conftest import fleet
+
+from alderspool.balancer.events import (
+    Availability,
+    EndpointEntry,
+    UpdateMode,
+)
+
+
+def test_subsets_of_many_instances_cover_all_endpoints_evenly() -> None:
+    used = Counter(s.id for k in range(200) for s in fleet(k, 200, 100).selected)
+    assert len(used) == 100
+    assert set(used.values()) <= set(range(10, 15))  # 200 x 6 / 100 = 12 instances a server
+
+
+def test_few_instances_use_every_endpoint_between_them() -> None:
+    assert len(fleet(0, 1, 100).selected) == 100
+    assert len({s.id for k in range(20) for s in fleet(k, 20, 100).selected}) == 100
+
+
+def test_outliers_do_not_fill_the_subset() -> None:
+    driver = fleet(0, 200, 100)
+    before = {s.id for s in driver.selected}
+    for s in driver.selected[:5]:
+        s.consecutive_failures = 5
+    driver.now += 1000.0
+    driver.request()
+    after = {s.id for s in driver.selected}
+    assert before < after and len(after) == len(before) + 5
+
+
+def test_returning_endpoint_finds_its_place_in_the_subset() -> None:
+    driver = fleet(3, 200, 100)
+    before = [s.id for s in driver.selected]
+    lost = [
+        EndpointEntry(i, zone=driver.endpoints[i].zone, availability=Availability.GONE) for i in before[:2]
+    ]
+    driver.update_list(*lost, mode=UpdateMode.DELTA)
+    assert len(driver.selected) == 6 and set(before[2:]) < {s.id for s in driver.selected}
+    driver.now += 5000.0
+    driver.update_list(
+        *(EndpointEntry(i, zone=driver.endpoints[i].zone) for i in before[:2]), mode=UpdateMode.DELTA
+    )
+    assert [s.id for s in driver.selected] == before
