--- a/benchmarks/accept_rate.py
+++ b/benchmarks/accept_rate.py
@@ -1,10 +1,10 @@
-"""Connections accepted under descriptor pressure, where each newcomer evicts one of those that are held.
+"""Connections accepted under descriptor pressure, where each new connection evicts an open one.
 
     .venv/bin/python -m benchmarks.accept_rate [--connections 3000]
 
-The listener runs in a process of its own with an exchange that can serve nothing. Each client connects, asks
-GET /ready, has its response and stays, or connects and stays silent (`--silent`). The CPU per connection is
-the figure to look at: what else the machine does changes the rate and hardly this one.
+The listener runs in a process of its own with an exchange that can serve nothing. Each client connects, sends
+GET /ready, reads the response and stays connected, or sends nothing (`--silent`). The CPU per connection is
+the figure to compare: other load on the system changes the rate more.
 """
 
 from __future__ import annotations
@@ -16,29 +16,32 @@
 from collections import deque
 from multiprocessing.connection import Connection
 from types import SimpleNamespace
+from typing import cast
 
 import click
 
 from alderspool.balancer.settings import RequestClass, Settings
 from alderspool.protocol.downstream import RequestReader
+from alderspool.routing.exchange import Exchange
 from alderspool.transport.descriptor_budget import DescriptorBudget
 from alderspool.transport.listener import Listener
 
-HELD_LIMITS = (70, 280, 600, 2400)
+CONNECTION_LIMITS = (70, 280, 600, 2400)
 REQUEST = b"GET /ready HTTP/1.1\r\nHost: benchmark\r\n\r\n"
 RESPONSE_BYTES = 1024
 STOP = "stop"
 STEP_S = 0.01
 
 
-def serve(held_limit: int, pipe: Connection) -> None:
-    asyncio.run(_serve(held_limit, pipe))
+def serve(connection_limit: int, pipe: Connection) -> None:
+    """Run the listener until the other end of the pipe sends anything, then send the CPU seconds used."""
+    asyncio.run(_serve(connection_limit, pipe))
 
 
-async def _serve(held_limit: int, pipe: Connection) -> None:
+async def _serve(connection_limit: int, pipe: Connection) -> None:
     settings = Settings(classes=[RequestClass("look", latency_objective_ms=400.0, deadline_ms=1000.0)])
-    exchange = SimpleNamespace(can_serve=False)
-    listener = Listener(exchange, RequestReader(settings), DescriptorBudget(held_limit))
+    exchange = cast(Exchange, SimpleNamespace(can_serve=False))
+    listener = Listener(exchange, RequestReader(settings), DescriptorBudget(connection_limit))
     listener.bind("127.0.0.1", 0)
     listener.start_accepting()
     pipe.send(("127.0.0.1", listener.port))
@@ -52,8 +55,8 @@
         await asyncio.sleep(STEP_S)
 
 
-def connect_clients(address: tuple[str, int], count: int, held_limit: int, silent: bool) -> float:
-    """The seconds that it took. Of those that the listener has evicted only so many stay open here."""
+def connect_clients(address: tuple[str, int], count: int, connection_limit: int, silent: bool) -> float:
+    """Connect so many clients; return the seconds taken. Evicted ones are closed here after a while."""
     clients: deque[socket.socket] = deque()
     started = time.perf_counter()
     for _ in range(count):
@@ -62,7 +65,7 @@
         if not silent:
             client.sendall(REQUEST)
             client.recv(RESPONSE_BYTES)
-        if len(clients) > held_limit + 64:
+        if len(clients) > connection_limit + 64:
             clients.popleft().close()
     elapsed_s = time.perf_counter() - started
     for client in clients:
@@ -74,18 +77,19 @@
 @click.option("--connections", default=3000, show_default=True)
 @click.option("--silent", is_flag=True, help="The clients send nothing.")
 def main(connections: int, silent: bool) -> None:
-    click.echo("held at most   accepted a second   CPU us per connection")
-    for held_limit in HELD_LIMITS:
+    """Measure for each limit of open connections."""
+    click.echo("open at most   accepted a second   CPU us per connection")
+    for connection_limit in CONNECTION_LIMITS:
         ours, theirs = mp.Pipe()
-        server = mp.Process(target=serve, args=(held_limit, theirs), daemon=True)
+        server = mp.Process(target=serve, args=(connection_limit, theirs), daemon=True)
         server.start()
         address = ours.recv()
-        elapsed_s = connect_clients(address, connections, held_limit, silent)
+        elapsed_s = connect_clients(address, connections, connection_limit, silent)
         ours.send(STOP)
         cpu_s = ours.recv()
         server.join()
         rate = connections / elapsed_s
-        click.echo(f"{held_limit:12}{rate:20.0f}{1e6 * cpu_s / connections:24.0f}")
+        click.echo(f"{connection_limit:12}{rate:20.0f}{1e6 * cpu_s / connections:24.0f}")
 
 
 if __name__ == "__main__":
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -1,6 +1,6 @@
-"""The one helper of the socket tests: the real program, and scripted parties round it. It models nothing.
+"""The helper of the socket tests: the real program, with scripted servers as its endpoints and discovery.
 
-Everything runs on free ports of the loopback; a test says what each party does.
+Everything runs on free ports of the loopback; a test scripts what each server does. Nothing is modelled here.
 """
 
 from __future__ import annotations
@@ -19,7 +19,7 @@
 from pathlib import Path
 from urllib.parse import parse_qs
 
-LIMIT_S = 30.0  # generous: a slow machine must not change a verdict
+LIMIT_S = 30.0  # generous: a slow system must not change a verdict
 SETTINGS = {
     "bounds": {"cancel": True, "may_duplicate": False, "max_attempts": 5, "conn_idle_ms": 10000.0},
     "classes": [
@@ -41,7 +41,7 @@
 
 
 def real(test):
-    """Runs a coroutine test under a time limit that only a hang meets."""
+    """Run a coroutine test under a time limit that only a hang reaches."""
 
     @functools.wraps(test)
     def run(*args, **kwargs):
@@ -51,7 +51,7 @@
 
 
 async def read_message(reader: asyncio.StreamReader) -> tuple[bytes, dict[str, str], bytes]:
-    """First line, headers and body of a request or an answer."""
+    """Return the first line, headers and body of a request or response."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
     headers = {k.lower(): v.strip() for k, _, v in (line.partition(":") for line in head[1:] if line)}
     body = await reader.readexactly(int(headers.get("content-length", 0)))
@@ -59,12 +59,18 @@
 
 
 class Party:
-    """A scripted server: `reply` gives the bytes for each request; None: silence. b"": end the connection."""
+    """A scripted server. `reply` gives the response to each request; None: no response; b"": close.
+
+    `line` has changes to its entry in the endpoint list.
+    """
 
     def __init__(self, name: str, reply: Callable | bytes | None = OK, **line: object) -> None:
-        self.name, self.reply, self.line = name, reply, line
+        self.name = name
+        self.reply = reply
+        self.line = line
         self.got: list[tuple[bytes, dict[str, str], bytes]] = []
-        self.opened, self.ended = 0, asyncio.Event()
+        self.opened = 0  # connections
+        self.ended = asyncio.Event()  # a client has closed its connection
 
     async def start(self) -> None:
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -77,7 +83,9 @@
                 self.got.append(await read_message(reader))
                 reply = self.reply(self) if callable(self.reply) else self.reply
                 reply = await reply if asyncio.iscoroutine(reply) else reply
-                await asyncio.sleep(0.001)  # no machine of a network answers sooner; on the loopback it could
+                await asyncio.sleep(
+                    0.001
+                )  # across a network no response comes sooner; on the loopback it could
                 if reply is not None:
                     writer.write(reply)
                     if not reply or b"Connection: close" in reply:
@@ -88,17 +96,18 @@
             writer.close()
 
     def entry(self, **changes: object) -> dict[str, object]:
+        """Return its entry in the endpoint list."""
         line = {"zone": "a", "type": "m2", "group": 0, "status": "ready", "weight": 1.0, "since_ms": 0}
         return {"name": self.name, "address": f"127.0.0.1:{self.port}"} | line | self.line | changes
 
 
-async def calls_until(place: Party, part: bytes) -> list[bytes]:
-    """What it was asked, up to the first call that has this in it."""
+async def calls_until(party: Party, part: bytes) -> list[bytes]:
+    """Wait for a request target that contains `part`; return all targets up to it."""
     while True:
-        calls = [got[0].split()[1] for got in place.got]
-        for n, call in enumerate(calls):
-            if part in call:
-                return calls[: n + 1]
+        targets = [got[0].split()[1] for got in party.got]
+        for index, target in enumerate(targets):
+            if part in target:
+                return targets[: index + 1]
         await asyncio.sleep(0.005)
 
 
@@ -106,56 +115,67 @@
     """Discovery, endpoints and the proxy, started together."""
 
     def __init__(self, *endpoints: Party, settings: dict | None = None, await_ready: bool = True) -> None:
-        self.endpoints, self.settings, self.await_ready = endpoints, SETTINGS | (settings or {}), await_ready
+        self.endpoints = endpoints
+        self.settings = SETTINGS | (settings or {})
+        self.await_ready = await_ready
         self.discovery = Party("discovery", lambda party: self._list())
-        self.news: asyncio.Queue[bytes] = asyncio.Queue()
-        self.told = 0
-        self.calls: list[float] = []  # the first call, and each that was the first after some news
+        self._updates: asyncio.Queue[bytes] = asyncio.Queue()
+        self._updates_sent = 0
+        self.calls: list[
+            float
+        ] = []  # times of the first call to discovery, and of the first after each update
 
     async def _list(self) -> bytes:
-        """What the test has to tell; to a watch, when its time is over, that there is nothing."""
-        if len(self.calls) == self.told:
+        """Return the next update; to a watch whose time is over, a response without changes."""
+        if len(self.calls) == self._updates_sent:
             self.calls.append(time.monotonic())
         query = parse_qs(self.discovery.got[-1][0].split()[1].partition(b"?")[2].decode())
         try:
             async with asyncio.timeout(int(query["timeout_ms"][0]) / 1000.0 if query else None):
-                news = await self.news.get()
+                update = await self._updates.get()
         except TimeoutError:
             return self.list_of(index=int(query["since"][0]))
-        self.told += 1
-        return news
+        self._updates_sent += 1
+        return update
 
     def list_of(
         self, *entries: dict, index: int = 2, snapshot: bool = False, indent: str | None = None
     ) -> bytes:
-        """Discovery's answer that holds these entries."""
+        """Return a response of discovery with these entries."""
         text = json.dumps({"index": index, "snapshot": snapshot, "endpoints": entries}, indent=indent)
         doc = text.replace("\n", "\r\n").encode()
         return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(doc), doc)
 
     def tell(self, *entries: dict, index: int = 2, snapshot: bool = False) -> None:
+        """Let discovery respond to its next call with these entries."""
         self.tell_raw(self.list_of(*entries, index=index, snapshot=snapshot))
 
-    def tell_raw(self, answer: bytes) -> None:
-        self.news.put_nowait(answer)
+    def tell_raw(self, response: bytes) -> None:
+        """Let discovery respond to its next call with these bytes."""
+        self._updates.put_nowait(response)
 
     async def asked(self, count: int) -> None:
+        """Wait until discovery was called so often, calls after an update being counted once."""
         while len(self.calls) < count:
             await asyncio.sleep(0.005)
 
     async def __aenter__(self) -> Rig:
         for party in (self.discovery, *self.endpoints):
             await party.start()
-        probe = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
-        self.port = probe.sockets[0].getsockname()[1]
-        probe.close()
+        placeholder = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
+        self.port = placeholder.sockets[0].getsockname()[1]
+        placeholder.close()
         self.config = {
             "name": "n1",
             "listen": f"127.0.0.1:{self.port}",
             "discovery": f"127.0.0.1:{self.discovery.port}",
             "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
-            "known": {"index": 1, "snapshot": True, "endpoints": [n.entry() for n in self.endpoints]},
+            "known": {
+                "index": 1,
+                "snapshot": True,
+                "endpoints": [endpoint.entry() for endpoint in self.endpoints],
+            },
             "settings": self.settings,
         }
         self.file = Path(tempfile.mkdtemp(prefix="alderspool-")) / "config.json"
@@ -173,12 +193,13 @@
         return self
 
     async def until_ready(self) -> None:
+        """Wait until the proxy responds."""
         while await self.ready() is None:
             assert self.proxy.returncode is None
             await asyncio.sleep(0.02)
 
     async def loading(self) -> None:
-        """Until the shell has given way to the program, which loads from then on."""
+        """Wait until the shell has started the program, which loads from then on."""
         while b"alderspool\0serve" not in Path(f"/proc/{self.proxy.pid}/cmdline").read_bytes():
             await asyncio.sleep(0.001)
 
@@ -191,27 +212,27 @@
             party.server.close()
 
     def reload(self, text: str) -> None:
-        """Puts this into the configuration file's place, and tells the proxy."""
+        """Replace the configuration file, and send the proxy SIGHUP."""
         new = self.file.with_suffix(".new")
         new.write_text(text)
         new.replace(self.file)
         self.proxy.send_signal(signal.SIGHUP)
 
     async def ready(self) -> bool | None:
-        """What the proxy says of itself; None: nobody answers."""
+        """Return whether the proxy is ready; None: it does not respond."""
         try:
             return (await self.raw(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"))[0] == 200
         except (OSError, asyncio.IncompleteReadError):
             return None
 
     async def connect(self, sent: bytes = b"") -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        """A connection of a client that has sent this."""
+        """Open a connection, and send these bytes on it."""
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
         writer.write(sent)
         return reader, writer
 
     async def raw(self, request: bytes) -> tuple[int, dict[str, str], bytes]:
-        """Status, headers and body of the answer to these bytes, on a connection of their own."""
+        """Send these bytes on a new connection; return status, headers and body of the response."""
         reader, writer = await self.connect(request)
         try:
             line, headers, body = await read_message(reader)
@@ -220,10 +241,12 @@
             writer.close()
 
     async def ask(self, cls: str = "look", wait: int = 5000, **headers: str) -> tuple[int, dict, bytes]:
+        """Send a request on a new connection; return status, headers and body of the response."""
         return await self.raw(request(cls, wait, **headers))
 
 
 def request(cls: str = "look", wait: int = 5000, body: bytes = b"", **headers: str) -> bytes:
+    """Return the bytes of a request with a deadline of `wait` ms; a header that is None is left out."""
     lines = {"Host": "api", "X-Class": cls, "X-Tenant": "acme", "X-Deadline-Ms": str(wait)}
     lines["X-Request-Id"] = os.urandom(8).hex()
     if cls == "put":
