--- a/alderspool/transport/arrival.py
+++ b/alderspool/transport/arrival.py
@@ -61,9 +61,10 @@
 
     def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
         """Wait for events as `selectors.DefaultSelector.select` does, and note the times."""
-        called_s = self._clock()
-        events = super().select(timeout)
-        returned_s = self._clock()
+        clock = self._clock
+        called_s = clock()
+        events = selectors.DefaultSelector.select(self, timeout)
+        returned_s = clock()
         self.has_waited = returned_s - called_s >= SHORTEST_WAIT_S
         # Events that were pending at the call before were reported by it.
         self.earliest_arrival_s = returned_s if self.has_waited else self._last_return_s
--- a/alderspool/transport/streams.py
+++ b/alderspool/transport/streams.py
@@ -57,7 +57,9 @@
     """Return whether the connection is open with nothing unread, here or in the system's buffer."""
     if reader.unread or reader.at_eof() or writer.transport.is_closing():
         return False
-    return not has_input(writer.get_extra_info("socket"))
+    poll = select.poll()
+    poll.register(writer.get_extra_info("socket").fileno(), select.POLLIN)
+    return not poll.poll(0)
 
 
 def has_input(connection: socket.socket) -> bool:
