--- a/tests/test_race_rows.py
+++ b/tests/test_race_rows.py
@@ -16,7 +16,7 @@
 from pathlib import Path
 
 import pytest
-from rig import SETTINGS, Party, Rig, read_message, real, request
+from rig import LIMIT_S, SETTINGS, Party, Rig, read_message, real, request
 from test_accept_queue import InProcessListener
 
 from alderspool.balancer.events import AttemptStatus
@@ -115,10 +115,10 @@
 
 
 class AcceptingExchange:
-    """What UpstreamPool needs of an exchange: each attempt may be written, and its end is counted."""
+    """What UpstreamPool needs of an exchange: each attempt may be written, and its end is recorded."""
 
     def __init__(self) -> None:
-        self.ended = 0
+        self.statuses: list[AttemptStatus] = []
 
     def may_write(self, attempt: Attempt) -> bool:
         return True
@@ -127,8 +127,7 @@
         return 1000.0
 
     def attempt_ended(self, attempt: Attempt, status: AttemptStatus, payload: object = None) -> None:
-        assert status == AttemptStatus.OK
-        self.ended += 1
+        self.statuses.append(status)
 
 
 def open_connections_to(*ports: int) -> int:
@@ -156,7 +155,10 @@
     await old.start()
     await new.start()
     exchange = AcceptingExchange()
-    settings = Settings(classes=[RequestClass("look", latency_objective_ms=400.0, deadline_ms=1000.0)])
+    settings = Settings(
+        classes=[RequestClass("look", latency_objective_ms=400.0, deadline_ms=1000.0)],
+        connect_timeout_ms=LIMIT_S * 1000.0,  # a busy machine must not change the verdict
+    )
     pool = UpstreamPool(exchange, settings, DescriptorBudget(limit))
     open_at_dial: list[int] = []
     connect = pool_module.connect
@@ -173,9 +175,10 @@
                 number, 0, endpoint.name.encode(), "127.0.0.1", endpoint.port, payload, 0.0, 0.0
             )
             pool.dispatch(attempt)
-        expected = exchange.ended + limit
-        while exchange.ended < expected:
+        expected = len(exchange.statuses) + limit
+        while len(exchange.statuses) < expected:
             await asyncio.sleep(0.001)
+    assert exchange.statuses == [AttemptStatus.OK] * (2 * limit)
     assert (old.opened, new.opened, len(open_at_dial)) == (limit, limit, 2 * limit)
     assert max(open_at_dial) < limit
     pool.close_idle(b"s2")
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -54,6 +54,10 @@
                 writer.close()
             else:
                 writer.write_eof()
+                continue
+            # Until the loop runs again the socket is still open, and the proxy would go on before its end.
+            with contextlib.suppress(OSError):
+                await writer.wait_closed()
         rig.proxy.send_signal(signal.SIGCONT)
         await settled(rig)
         assert [got[0][:9] for got in rig.endpoints[0].got] == [b"GET /look"] * 2
