--- a/benchmarks/sizes.py
+++ b/benchmarks/sizes.py
@@ -1,29 +1,49 @@
-"""What grows with the fleet: loading, a whole list, a change and a request, with as many proxies as nodes.
+"""What grows with the fleet: CPU time and memory of one proxy, with as many proxies as endpoints.
 
-    .venv/bin/python -m benchmarks.sizes [--repeat 5]
+    .venv/bin/python -m benchmarks.sizes [--repeat 5] [--size 24 --size 200 ...]
 
-Each size is measured in a process of its own, all in one run; the figures to look at are the ratios to the
-smallest size beside the ratio of the lists' lengths.
+Measured for each size: reading the configuration, a complete endpoint list, an update of one endpoint, and a
+request. Each size runs in a process of its own. What counts is how each figure grows relative to the smallest
+size, compared with how the list grows; both ratios are printed.
 """
 
 from __future__ import annotations
 
 import json
-import multiprocessing as mp
-import resource
+import multiprocessing
 import tempfile
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
+from multiprocessing.connection import Connection
 from pathlib import Path
+from typing import Any
 
 import click
 
+from alderspool.balancer import Balancer
 from alderspool.balancer.actions import Send
 from alderspool.balancer.events import AttemptStatus, EndpointListUpdate, Outcome, Request, UpdateMode
+from alderspool.program.config import Config, EnvironmentVariable, load
 
 SIZES = (24, 200, 600, 1024)
-REQUESTS = 2000
-SETTINGS = {
+REQUEST_COUNT = 2000
+REQUEST_INTERVAL_MS = 40.0
+RESPONSE_TIME_MS = 20.0
+TIME_LEFT_MS = 1000.0
+START_MS = 1e6
+MICROSECONDS_PER_S = 1e6
+EXIT_TIMEOUT_S = 5.0
+PROCESS_STATUS = Path("/proc/self/status")
+PEAK_RESIDENT_SET = "VmHWM"
+
+MAX_SIZE = 65_536  # the addresses differ in their last two bytes
+NAME_MULTIPLIER = 2654435761  # spreads the numbers over 32 bits, so that names are in no order
+NAME_MODULUS = 2**32
+ENDPOINTS_PER_GROUP = 5
+
+# In the form and with the names of the platform's settings document.
+SETTINGS: dict[str, Any] = {
     "bounds": {"cancel": True, "may_duplicate": True, "max_attempts": 5, "conn_idle_ms": 10000.0},
     "classes": [{"name": "look", "slo_ms": 400.0, "deadline_ms": 1000.0, "effect": "free"}],
     "discovery": "on_request",
@@ -32,83 +52,155 @@
 }
 
 
-def configuration(size: int) -> dict:
-    endpoints = [
-        {"name": f"s-{n * 2654435761 % 2**32:08x}", "address": f"10.1.{n >> 8}.{n & 255}:3000"}
-        | {
-            "zone": "ab"[n % 2],
-            "type": "m2",
-            "group": n // 5,
-            "status": "ready",
-            "weight": 1.0,
-            "since_ms": 0,
-        }
-        for n in range(size)
-    ]
+@dataclass(frozen=True)
+class Figures:
+    """What was measured at one size; times in us."""
+
+    load_us: float
+    complete_list_us: float
+    single_update_us: float
+    request_us: float
+    memory_kb: int  # growth of the peak resident set from before the configuration was read
+
+    def times_us(self) -> list[float]:
+        """Return the times in the order of the printed columns."""
+        return [self.load_us, self.complete_list_us, self.single_update_us, self.request_us]
+
+
+def configuration(size: int) -> dict[str, Any]:
+    """Return the configuration document of a proxy in a fleet with so many endpoints and proxies."""
     return {
         "listen": "127.0.0.1:3000",
         "discovery": "127.0.0.1:8500",
         "seed": "1",
-        "known": {"index": 1, "snapshot": True, "endpoints": endpoints},
+        "known": {"index": 1, "snapshot": True, "endpoints": [_endpoint(number) for number in range(size)]},
         "settings": SETTINGS | {"siblings": size, "my_number": size // 3},
     }
 
 
-def best(act: Callable[[], object], repeat: int) -> float:
-    """The shortest time that it took, in us: what the machine does beside it only adds."""
-    times = []
+def _endpoint(number: int) -> dict[str, Any]:
+    return {
+        "name": f"s-{number * NAME_MULTIPLIER % NAME_MODULUS:08x}",
+        "address": f"10.1.{number >> 8}.{number & 255}:3000",
+        "zone": "ab"[number % 2],
+        "type": "m2",
+        "group": number // ENDPOINTS_PER_GROUP,
+        "status": "ready",
+        "weight": 1.0,
+        "since_ms": 0,
+    }
+
+
+def shortest_time_us(act: Callable[[], object], repeat: int) -> float:
+    """Return the shortest time of several calls; other load on the host can only lengthen a call."""
+    times_s = []
     for _ in range(repeat):
-        started = time.perf_counter()
+        started_at_s = time.perf_counter()
         act()
-        times.append(time.perf_counter() - started)
-    return 1e6 * min(times)
-
+        times_s.append(time.perf_counter() - started_at_s)
+    return MICROSECONDS_PER_S * min(times_s)
+
+
+class BalancerRun:
+    """A balancer on a virtual clock, which `send_requests` moves on."""
+
+    def __init__(self, config: Config) -> None:
+        self._entries = [endpoint.entry for endpoint in config.known.endpoints]
+        self._balancer = Balancer(config.settings, 1)
+        self._now_ms = START_MS
+        self._balancer.start(self._now_ms)
+
+    def replace_list(self) -> None:
+        """Give the balancer the complete endpoint list."""
+        update = EndpointListUpdate(UpdateMode.FULL, self._entries, 1)
+        self._balancer.handle(self._now_ms, update)
+
+    def update_one_endpoint(self) -> None:
+        """Give the balancer an update of one endpoint."""
+        update = EndpointListUpdate(UpdateMode.DELTA, self._entries[:1], 2)
+        self._balancer.handle(self._now_ms, update)
+
+    def send_requests(self) -> None:
+        """Take REQUEST_COUNT requests, each of which succeeds at its first endpoint."""
+        for number in range(REQUEST_COUNT):
+            self._now_ms += REQUEST_INTERVAL_MS
+            for action in self._balancer.handle(self._now_ms, Request(number + 1, TIME_LEFT_MS)):
+                if isinstance(action, Send):
+                    outcome = Outcome(
+                        action.id, 0, action.endpoint, AttemptStatus.OK, RESPONSE_TIME_MS, finished=True
+                    )
+                    self._balancer.handle(self._now_ms + RESPONSE_TIME_MS, outcome)
 
-def measure(size: int, repeat: int, pipe) -> None:
-    from alderspool.balancer import Balancer
-    from alderspool.program.config import load
 
-    before = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+def measure(size: int, repeat: int) -> Figures:
+    """Measure one size. Call it in a fresh process: the memory is that of the whole process."""
+    memory_before_kb = _peak_resident_set_kb()
     with tempfile.TemporaryDirectory() as folder:
-        file = Path(folder) / "config.json"
-        file.write_text(json.dumps(configuration(size)))
-        environ = {"BALANCER_CONFIG": str(file)}
+        path = Path(folder) / "config.json"
+        path.write_text(json.dumps(configuration(size)))
+        environ = {EnvironmentVariable.CONFIG.value: str(path)}
         config = load(environ)
-        loading = best(lambda: load(environ), repeat)
-    entries, now = [m.entry for m in config.known.machines], 1e6
-    balancer = Balancer(config.settings, 1)
-    balancer.start(now)
-    whole = best(lambda: balancer.handle(now, EndpointListUpdate(UpdateMode.FULL, entries, 1)), repeat)
-    change = best(lambda: balancer.handle(now, EndpointListUpdate(UpdateMode.DELTA, entries[:1], 2)), repeat)
-
-    def requests() -> None:
-        nonlocal now
-        for number in range(REQUESTS):
-            now += 40.0  # 25 a second
-            for action in balancer.handle(now, Request(number + 1, 1000.0)):
-                if isinstance(action, Send):
-                    outcome = Outcome(action.id, 0, action.endpoint, AttemptStatus.OK, 20.0, True)
-                    balancer.handle(now + 20.0, outcome)
-
-    request = best(requests, repeat) / REQUESTS
-    memory = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss - before
-    pipe.send((loading, whole, change, request, memory))
+        load_us = shortest_time_us(lambda: load(environ), repeat)
+    run = BalancerRun(config)
+    return Figures(
+        load_us=load_us,
+        complete_list_us=shortest_time_us(run.replace_list, repeat),
+        single_update_us=shortest_time_us(run.update_one_endpoint, repeat),
+        request_us=shortest_time_us(run.send_requests, repeat) / REQUEST_COUNT,
+        memory_kb=_peak_resident_set_kb() - memory_before_kb,
+    )
+
+
+def _peak_resident_set_kb() -> int:
+    """Return the peak since the program was loaded; `ru_maxrss` would include the parent's peak too."""
+    for line in PROCESS_STATUS.read_text().splitlines():
+        name, _, value = line.partition(":")
+        if name == PEAK_RESIDENT_SET:
+            return int(value.removesuffix("kB"))
+    raise click.ClickException(f"{PROCESS_STATUS}: no {PEAK_RESIDENT_SET}")
+
+
+def _measure_and_send(size: int, repeat: int, writer: Connection[Figures, Any]) -> None:
+    """Measure one size for the parent: the main function of the child process."""
+    writer.send(measure(size, repeat))
+
+
+def measure_in_child(size: int, repeat: int) -> Figures:
+    """Measure one size in a process of its own. Raises ClickException if the process dies."""
+    context = multiprocessing.get_context("spawn")
+    reader, writer = context.Pipe(duplex=False)
+    process = context.Process(target=_measure_and_send, args=(size, repeat, writer))
+    process.start()
+    # While the parent has the writing end open too, `recv` never sees the end of file of a dead child.
+    writer.close()
+    try:
+        figures: Figures = reader.recv()
+    except EOFError as error:
+        process.join(EXIT_TIMEOUT_S)
+        message = f"size {size}: the process ended with status {process.exitcode} and no figures"
+        raise click.ClickException(message) from error
+    process.join()
+    return figures
 
 
 @click.command()
-@click.option("--repeat", default=5, show_default=True)
-def main(repeat: int) -> None:
-    first: tuple[float, ...] = ()
-    click.echo("nodes   list      loading us        whole list us     one change us     a request us      KB")
-    for size in SIZES:
-        ours, theirs = mp.get_context("spawn").Pipe()
-        process = mp.get_context("spawn").Process(target=measure, args=(size, repeat, theirs))
-        process.start()
-        figures = ours.recv()
-        process.join()
-        first = first or figures
-        times = [f"{f:9.0f} x{f / b:5.1f}  " for f, b in zip(figures[:4], first[:4], strict=True)]
-        click.echo(f"{size:5} x{size / SIZES[0]:5.1f} {' '.join(times)}{figures[4]:8}")
+@click.option("--repeat", type=click.IntRange(min=1), default=5, show_default=True)
+@click.option(
+    "--size", "sizes", type=click.IntRange(1, MAX_SIZE), multiple=True, default=SIZES, show_default=True
+)
+def main(repeat: int, sizes: tuple[int, ...]) -> None:
+    """Print a row for each size, with ratios to the first one."""
+    first: Figures | None = None
+    click.echo(
+        "endpoints  list    load us          complete list us one update us    request us           KB"
+    )
+    for size in sizes:
+        figures = measure_in_child(size, repeat)
+        if first is None:
+            first = figures
+        pairs = zip(figures.times_us(), first.times_us(), strict=True)
+        columns = [f"{time_us:9.0f} x{time_us / first_us:5.1f}  " for time_us, first_us in pairs]
+        click.echo(f"{size:9} x{size / sizes[0]:5.1f} {' '.join(columns)}{figures.memory_kb:8}")
 
 
 if __name__ == "__main__":
