--- a/benchmarks/load_tool.py
+++ b/benchmarks/load_tool.py
@@ -1,64 +1,88 @@
-"""The load tool alone against an empty stand-in: the rate at which it keeps its own time, and its CPU.
+"""The load tool against a server that does no work: the rates at which its runs are valid, and its CPU time.
 
     .venv/bin/python -m benchmarks.load_tool [--seconds 4]
 
-The stand-in runs in processes of its own and answers at once; what it takes of the machine is not counted.
+The server runs in processes of its own and responds at once; its CPU time is not counted.
 """
 
 from __future__ import annotations
 
 import asyncio
-import multiprocessing as mp
+import multiprocessing
 import socket
 
 import click
 
 from alderspool.lab.load import workers
 from alderspool.lab.load.plan import lay_out
+from alderspool.lab.load.results import Summary
 from alderspool.lab.load.traffic import Traffic
 
-ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
-STAND_INS = 3
+RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+SERVER_PROCESSES = 3
+ACCEPT_QUEUE = 1024
+WORKER_COUNTS = (1, 2, 4)
+RATES_PER_WORKER = (1000.0, 2000.0, 3000.0, 4000.0, 5000.0)
+MICROSECONDS_PER_S = 1e6
 
 
-class Empty(asyncio.Protocol):
-    """Answers once for each chunk: the tool sends one request a connection at a time, in one write."""
+class FixedResponseServer(asyncio.Protocol):
+    """Responds once to each chunk: the tool sends one request a connection at a time, in one write."""
 
-    def connection_made(self, transport: asyncio.Transport) -> None:
-        self.transport = transport
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport for the responses."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
 
     def data_received(self, data: bytes) -> None:
-        self.transport.write(ANSWER)
+        """Respond to the request in this chunk."""
+        self._transport.write(RESPONSE)
 
 
-def stand_in(listener: socket.socket) -> None:
-    async def run() -> None:
-        server = await asyncio.get_running_loop().create_server(Empty, sock=listener)
-        await server.serve_forever()
+def serve(listener: socket.socket) -> None:
+    """Serve until the process is ended: the main function of a server process."""
+    asyncio.run(_serve(listener))
 
-    asyncio.run(run())
+
+async def _serve(listener: socket.socket) -> None:
+    server = await asyncio.get_running_loop().create_server(FixedResponseServer, sock=listener)
+    await server.serve_forever()
+
+
+def run_load(url: str, worker_count: int, rate_per_worker: float, seconds: float) -> Summary:
+    """Send load at this rate and return the summary."""
+    traffic = Traffic(rate=worker_count * rate_per_worker, seconds=seconds)
+    return workers.run(url, lay_out(traffic), worker_count).summary()
+
+
+def format_row(worker_count: int, summary: Summary) -> str:
+    """Return the row of one run."""
+    cpu_us = summary["cpu_us_per_request"]
+    lateness_ms = summary["lateness_ms"]["p99"]
+    valid = "yes" if summary["valid"] else "no"
+    return (
+        f"{worker_count:7}{summary['per_second']:17.0f}{cpu_us:14.0f}{MICROSECONDS_PER_S / cpu_us:20.0f}"
+        f"{lateness_ms:18.2f}   {valid}"
+    )
 
 
 @click.command()
 @click.option("--seconds", default=4.0, show_default=True)
 def main(seconds: float) -> None:
-    listener = socket.create_server(("127.0.0.1", 0), backlog=1024)
-    servers = [mp.Process(target=stand_in, args=(listener,), daemon=True) for _ in range(STAND_INS)]
+    """Print a row for each number of workers and each rate, up to the first rate whose run is not valid."""
+    listener = socket.create_server(("127.0.0.1", 0), backlog=ACCEPT_QUEUE)
+    servers = [
+        multiprocessing.Process(target=serve, args=(listener,), daemon=True) for _ in range(SERVER_PROCESSES)
+    ]
     for server in servers:
         server.start()
     url = f"http://127.0.0.1:{listener.getsockname()[1]}"
     try:
         click.echo("workers    rate a second   CPU us each   a second and core   lateness p99 ms   valid")
-        for count in (1, 2, 4):
-            for rate in (1000.0, 2000.0, 3000.0, 4000.0, 5000.0):
-                result = workers.run(url, lay_out(Traffic(rate=count * rate, seconds=seconds)), count)
-                summary = result.summary()
-                cpu = summary["cpu_us_per_request"]
-                late = summary["lateness_ms"]["p99"]
-                click.echo(
-                    f"{count:7}{summary['per_second']:17.0f}{cpu:14.0f}{1e6 / cpu:20.0f}{late:18.2f}   "
-                    f"{'yes' if summary['valid'] else 'no'}"
-                )
+        for worker_count in WORKER_COUNTS:
+            for rate_per_worker in RATES_PER_WORKER:
+                summary = run_load(url, worker_count, rate_per_worker, seconds)
+                click.echo(format_row(worker_count, summary))
                 if not summary["valid"]:
                     break
     finally:
