--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -3,15 +3,16 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Iterable, Iterator
 from dataclasses import replace
 from heapq import heappop, heappush
 from random import Random
 
 import pytest
 from conftest import IDEMPOTENT, Driver, sends
-from fleet_model import Fleet
+from fleet_model import Fleet, SimulatedAttempt
 
-from alderspool.balancer.actions import Send, SetTimer
+from alderspool.balancer.actions import Action, Send, SetTimer
 from alderspool.balancer.events import (
     AttemptStatus,
     Availability,
@@ -25,239 +26,362 @@
 )
 from alderspool.balancer.settings import Tenant
 
-PROXIES = 40
+PROXY_COUNT = 40
+START_MS = 1_000_000.0  # where the clock of a Driver begins
+ENDPOINT_ID_BYTES = 6
 
+SLOW_START = {"cold_overload_factor": 4.0, "initial_capacity_share": 0.3, "slow_start_ms": 8900.0}
 
-def nodes(*sizes: int) -> list[EndpointEntry]:
-    """So many ready endpoints in each zone, with ids that tell nothing."""
-    r = Random(1)
-    return [EndpointEntry(r.randbytes(6), zone=zone) for zone, n in enumerate(sizes) for _ in range(n)]
+
+def make_entries(*zone_sizes: int) -> list[EndpointEntry]:
+    """Return so many ready endpoints in each zone; their ids show neither zone nor order."""
+    random = Random(1)
+    return [
+        EndpointEntry(random.randbytes(ENDPOINT_ID_BYTES), zone=zone)
+        for zone, size in enumerate(zone_sizes)
+        for _ in range(size)
+    ]
 
 
-def crowd(entries: list[EndpointEntry], **settings: object) -> list[Driver]:
-    """All proxies, half of them in either zone."""
+def start_proxies(entries: list[EndpointEntry], **settings: object) -> list[Driver]:
+    """Start all proxies, half of them in either zone, with this endpoint list."""
     drivers = [
-        Driver(instance_number=k, instance_count=PROXIES, zone=k % 2, seed=k, **settings)
-        for k in range(PROXIES)
+        Driver(instance_number=number, instance_count=PROXY_COUNT, zone=number % 2, seed=number, **settings)
+        for number in range(PROXY_COUNT)
     ]
-    for d in drivers:
-        d.update_list(*entries)
+    for driver in drivers:
+        driver.update_list(*entries)
     return drivers
 
 
-@pytest.mark.parametrize("gone", [(0, 0), (15, 10)])
-@pytest.mark.parametrize("sizes", [(30, 30), (43, 17)])
-def test_each_node_is_used_by_about_as_many_proxies(sizes: tuple[int, int], gone: tuple[int, int]) -> None:
+# ---- subsets --------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("drained_sizes", [(0, 0), (15, 10)], ids=["none drained", "25 drained"])
+@pytest.mark.parametrize("zone_sizes", [(30, 30), (43, 17)], ids=["even zones", "uneven zones"])
+def test_each_endpoint_is_used_by_about_as_many_proxies(
+    zone_sizes: tuple[int, int], drained_sizes: tuple[int, int]
+) -> None:
     """Half a subset from each zone, and subsets stretched over a gap in the list: up to 24 users."""
-    entries = nodes(*sizes)
-    left = {
-        i for zone, n in enumerate(gone) for i in sorted(e.id for e in entries if e.zone == zone)[5 : 5 + n]
-    }
-    drivers = crowd(entries)
-    for d in drivers:
-        drained = (EndpointEntry(i, availability=Availability.DRAINING) for i in left)
-        d.update_list(*drained, mode=UpdateMode.DELTA)
-    used = Counter(s.id for d in drivers for s in d.selected)
-    assert set(used) == {e.id for e in entries} - left
-    even = sum(used.values()) / len(used)
-    assert even - 2 <= min(used.values()) and max(used.values()) <= even + 2
+    entries = make_entries(*zone_sizes)
+    drained_ids: set[bytes] = set()
+    for zone, drained_size in enumerate(drained_sizes):
+        zone_ids = sorted(entry.id for entry in entries if entry.zone == zone)
+        drained_ids.update(zone_ids[5 : 5 + drained_size])
+    drivers = start_proxies(entries)
+
+    for driver in drivers:
+        drained = (
+            EndpointEntry(drained_id, availability=Availability.DRAINING) for drained_id in drained_ids
+        )
+        driver.update_list(*drained, mode=UpdateMode.DELTA)
+
+    users = Counter(endpoint.id for driver in drivers for endpoint in driver.selected)
+    assert set(users) == {entry.id for entry in entries} - drained_ids
+    mean = sum(users.values()) / len(users)
+    assert mean - 2 <= min(users.values())
+    assert max(users.values()) <= mean + 2
 
 
 @pytest.mark.parametrize(
-    ("proxies", "sizes"),
-    [(230, (10,) * 40), (230, (300, 10)), (1024, (12, 12)), (7, (512, 512)), (1024, (3, 5))],
+    ("proxy_count", "zone_sizes"),
+    [
+        pytest.param(230, (10,) * 40, id="40 zones"),
+        pytest.param(230, (300, 10), id="very uneven zones"),
+        pytest.param(1024, (12, 12), id="many more proxies than endpoints"),
+        pytest.param(7, (512, 512), id="many more endpoints than proxies"),
+        pytest.param(1024, (3, 5), id="8 endpoints"),
+    ],
 )
-def test_each_node_is_used_by_about_as_many_proxies_at_any_size(proxies: int, sizes: tuple[int, ...]) -> None:
-    """More zones than anybody has named, many more proxies than nodes, many more nodes than proxies."""
-    entries, used = nodes(*sizes), Counter()
-    for k in range(proxies):
-        d = Driver(instance_number=k, instance_count=proxies, seed=k)
-        d.update_list(*entries)
-        used.update(s.id for s in d.selected)
-    assert len(used) == len(entries)
-    even = sum(used.values()) / len(used)
-    assert even - 3 <= min(used.values()) and max(used.values()) <= even + 3
-
-
-def test_subset_stays_mostly_the_same_when_a_few_nodes_are_removed() -> None:
-    """What was learned of a node, and the connections to it, are lost with its place in the subset."""
-    entries = nodes(35, 25)
-    drivers = crowd(entries)
-    before, gone = [{s.id for s in d.selected} for d in drivers], {e.id for e in entries[::10]}
-    for d in drivers:
-        d.update_list(*(e for e in entries if e.id not in gone))
-    kept = sum(len(b & {s.id for s in d.selected}) for b, d in zip(before, drivers, strict=True))
-    assert kept > 0.7 * sum(len(b - gone) for b in before)
-
-
-def test_cold_nodes_are_used_as_they_warm_up() -> None:
-    """With half of the fleet back cold the warm half bore nearly all, choked, and stayed so."""
+def test_each_endpoint_is_used_by_about_as_many_proxies_at_any_size(
+    proxy_count: int, zone_sizes: tuple[int, ...]
+) -> None:
+    """The even spread does not depend on the numbers of zones, proxies and endpoints."""
+    entries = make_entries(*zone_sizes)
+    users: Counter[bytes] = Counter()
+
+    for number in range(proxy_count):
+        driver = Driver(instance_number=number, instance_count=proxy_count, seed=number)
+        driver.update_list(*entries)
+        users.update(endpoint.id for endpoint in driver.selected)
+
+    assert len(users) == len(entries)
+    mean = sum(users.values()) / len(users)
+    assert mean - 3 <= min(users.values())
+    assert max(users.values()) <= mean + 3
+
+
+def test_subset_stays_mostly_the_same_when_a_few_endpoints_are_removed() -> None:
+    """What was learned of an endpoint, and the connections to it, are lost when it leaves the subset."""
+    entries = make_entries(35, 25)
+    drivers = start_proxies(entries)
+    subsets_before = [{endpoint.id for endpoint in driver.selected} for driver in drivers]
+    removed_ids = {entry.id for entry in entries[::10]}
+
+    for driver in drivers:
+        driver.update_list(*(entry for entry in entries if entry.id not in removed_ids))
+
+    unchanged = 0
+    for subset_before, driver in zip(subsets_before, drivers, strict=True):
+        unchanged += len(subset_before & {endpoint.id for endpoint in driver.selected})
+    assert unchanged > 0.7 * sum(len(subset_before - removed_ids) for subset_before in subsets_before)
+
+
+# ---- slow start -----------------------------------------------------------------------------------
+
+
+def work_of(attempts: Iterable[SimulatedAttempt]) -> float:
+    """Return the work of these attempts, in ms of a core of speed 1."""
+    return sum(attempt.request.work for attempt in attempts)
+
+
+def test_cold_endpoints_are_used_as_they_warm_up() -> None:
+    """With half of the fleet cold, the warm half once got nearly all requests, choked, and stayed choked."""
     fleet = Fleet(1, 0.7, nodes=20, proxies=20, cold_overload_factor=4.0)
     fleet.run(4)
-    back, others = fleet.nodes[::2], fleet.nodes[1::2]
-    for node in back:
-        fleet.die(node)
+    restarted = fleet.nodes[::2]
+    others = fleet.nodes[1::2]
+    for endpoint in restarted:
+        fleet.die(endpoint)
     fleet.run(0.1)
-    for node in back:
-        fleet.come_back(node)
+    for endpoint in restarted:
+        fleet.come_back(endpoint)
     fleet.reached.clear()
+
     fleet.run(3)
-    cold = sum(a.request.work for a in fleet.reached if a.node in back) / sum(n.speed for n in back)
-    warm = sum(a.request.work for a in fleet.reached if a.node in others) / sum(n.speed for n in others)
+
+    cold_work = work_of(attempt for attempt in fleet.reached if attempt.node in restarted)
+    warm_work = work_of(attempt for attempt in fleet.reached if attempt.node in others)
+    cold = cold_work / sum(endpoint.speed for endpoint in restarted)
+    warm = warm_work / sum(endpoint.speed for endpoint in others)
     assert cold > 0.42 * warm  # they can do 0.4 to 0.82 of the others' work; was 0.29
 
 
-def test_cold_node_gets_less_from_all_proxies_than_overloads_it() -> None:
-    """Whatever is asked, and though no limit on what is out holds anyone back: the budget alone."""
-    entries = nodes(30, 30)
-    drivers = crowd(entries, cold_overload_factor=4.0, initial_capacity_share=0.3, slow_start_ms=8900.0)
-    served, node, sent = 0, entries[0].id, 0
-    for d in drivers:
-        served += len(d.serve(200, took=50.0))
-        d.update_list(EndpointEntry(node, started_at_ms=d.now), mode=UpdateMode.DELTA)
-        end = d.now + 1000.0
-        while d.now < end:  # ten times as much, each answered at once
-            sent += d.serve(1)[0] == node
-    warm = served / 10.0 / len(entries)  # what a warm node does in a second
-    assert 0 < sent < 4.0 * 0.3 * warm
+def test_cold_endpoint_gets_less_from_all_proxies_than_overloads_it() -> None:
+    """The slow-start budget alone suffices: responses are immediate, so no concurrency limit applies."""
+    entries = make_entries(30, 30)
+    drivers = start_proxies(entries, **SLOW_START)
+    cold_id = entries[0].id
+    served = 0
+    sent_to_cold = 0
 
+    for driver in drivers:
+        served += len(driver.serve(200, took=50.0))
+        driver.update_list(EndpointEntry(cold_id, started_at_ms=driver.now), mode=UpdateMode.DELTA)
+        end_ms = driver.now + 1000.0
+        while driver.now < end_ms:  # ten times the rate of before
+            if driver.serve(1)[0] == cold_id:
+                sent_to_cold += 1
 
-def test_requests_that_just_take_longer_are_not_hedged() -> None:
-    """Every hedge is work for all: where each proxy hedges one request in twelve, that is a load."""
-    fleet = Fleet(3, 0.6, nodes=12, proxies=8)
-    fleet.run(8)
-    copies, total = sum(a.number > 0 for a in fleet.reached), len(fleet.reached)
-    assert total > 1000 and copies < 0.02 * total  # was 0.09
+    warm_per_s = served / 10.0 / len(entries)  # what a warm endpoint serves in a second
+    assert 0 < sent_to_cold < 4.0 * 0.3 * warm_per_s
 
 
-def lose(d: Driver, bad: set[bytes], status: AttemptStatus, n: int, kinds: int = 1) -> int:
-    """n requests, 20 a second but for those that a bad node loses at once; how many it lost."""
-    r, lost = Random(d.cfg.instance_number), 0
-    for _ in range(n):
-        d.now += 10.0
-        for send in sends(d.request(r.randrange(kinds), tenant=r.randrange(kinds))):
-            lost += (fails := send.endpoint in bad)
-            d.now += 1.0 if fails else 40.0
-            d.outcome(send.id, 0, send.endpoint, status if fails else AttemptStatus.OK, True)
-    return lost
+# ---- hedging and failing endpoints ----------------------------------------------------------------
 
 
-def test_failing_node_costs_few_requests_though_each_proxy_sees_little_of_it() -> None:
-    """A first wait of one usual latency was over before the node's next turn: it was no wait at all."""
-    lost = 0
-    for d in crowd(nodes(30, 30), classes=[IDEMPOTENT] * 3, tenants=[Tenant(name) for name in "xyz"]):
-        lose(d, set(), AttemptStatus.OK, 100, kinds=3)
-        lost += lose(d, {d.selected[0].id}, AttemptStatus.ERROR, 100, kinds=3)
-    assert lost / PROXIES < 3.5  # 3.95 without
+def test_requests_that_just_take_longer_are_not_hedged() -> None:
+    """Each hedge is work for the fleet: one in twelve requests from every proxy would be a notable load."""
+    fleet = Fleet(3, 0.6, nodes=12, proxies=8)
 
+    fleet.run(8)
 
-def test_cold_budget_follows_the_nodes_that_respond() -> None:
-    """Dead nodes that the list still names do nothing: counted as warm, they halved the budget."""
+    hedges = sum(attempt.number > 0 for attempt in fleet.reached)
+    total = len(fleet.reached)
+    assert total > 1000
+    assert hedges < 0.02 * total  # was 0.09
+
+
+def count_failures(
+    driver: Driver, failing_ids: set[bytes], status: AttemptStatus, request_count: int, kinds: int = 1
+) -> int:
+    """Send requests of so many classes and tenants, and return how many attempts failed.
+
+    The failing endpoints end each attempt with the status at once; the others respond after 40 ms.
+    """
+    random = Random(driver.cfg.instance_number)
+    failures = 0
+    for _ in range(request_count):
+        driver.now += 10.0
+        for send in sends(driver.request(random.randrange(kinds), tenant=random.randrange(kinds))):
+            fails = send.endpoint in failing_ids
+            if fails:
+                failures += 1
+            driver.now += 1.0 if fails else 40.0
+            driver.outcome(send.id, 0, send.endpoint, status if fails else AttemptStatus.OK, True)
+    return failures
+
+
+def test_failing_endpoint_costs_few_requests_though_each_proxy_sees_little_of_it() -> None:
+    """A first ejection of one typical latency ended before the endpoint's next turn, and had no effect."""
+    failures = 0
+    tenants = [Tenant(name) for name in "xyz"]
+    for driver in start_proxies(make_entries(30, 30), classes=[IDEMPOTENT] * 3, tenants=tenants):
+        count_failures(driver, set(), AttemptStatus.OK, 100, kinds=3)
+        failing_ids = {driver.selected[0].id}
+        failures += count_failures(driver, failing_ids, AttemptStatus.ERROR, 100, kinds=3)
+    assert failures / PROXY_COUNT < 3.5  # 3.95 without
+
+
+def test_cold_budget_follows_the_endpoints_that_respond() -> None:
+    """Dead endpoints that are still listed serve nothing: counted as warm, they halved the budget."""
     budgets = []
-    for dead in (0, 4):
-        d = crowd(nodes(30, 30), cold_overload_factor=4.0, initial_capacity_share=0.3, slow_start_ms=8900.0)[
-            0
-        ]
-        lose(d, {s.id for s in d.selected[:dead]}, AttemptStatus.CONNECT_FAILED, 400)
-        cold = d.selected[-1]
-        d.update_list(EndpointEntry(cold.id, zone=cold.zone, started_at_ms=d.now), mode=UpdateMode.DELTA)
-        budgets.append(cold.cold_rate / d.policies.latency.arrivals.rate)  # nine answer in either case
+    for dead_count in (0, 4):
+        driver = start_proxies(make_entries(30, 30), **SLOW_START)[0]
+        dead_ids = {endpoint.id for endpoint in driver.selected[:dead_count]}
+        count_failures(driver, dead_ids, AttemptStatus.CONNECT_FAILED, 400)
+        cold = driver.selected[-1]
+        restarted = EndpointEntry(cold.id, zone=cold.zone, started_at_ms=driver.now)
+        driver.update_list(restarted, mode=UpdateMode.DELTA)
+        # Nine endpoints respond in either case.
+        budgets.append(cold.cold_rate / driver.policies.latency.arrivals.rate)
     assert budgets[1] > 0.9 * budgets[0] > 0.0
 
 
-def at_rate(d: Driver, each_ms: float, seconds: float, took: float) -> Counter[bytes]:
-    """One request every so many ms, each served after `took` ms; how many each node got."""
-    got, out = Counter[bytes](), list[tuple[float, Send]]()
-    end = d.now + 1000.0 * seconds
-    while d.now < end:
-        while out and out[0][0] <= d.now:
-            send = out.pop(0)[1]
-            d.handle(Outcome(send.id, 0, send.endpoint, AttemptStatus.OK, took, True))
-        for send in sends(d.request()):
-            got[send.endpoint] += 1
-            out.append((d.now + took, send))
-        d.now += each_ms
-    return got
-
-
-@pytest.mark.parametrize("times", [1, 3, 6])
-def test_proxy_with_a_multiple_of_the_traffic_uses_as_many_times_more_nodes(times: int) -> None:
-    """Six nodes took all of a proxy with six times the mean: on a calm day a dozen proxies rejected half."""
-    quota = [Tenant("a", 1.0, 8.0 * PROXIES)]  # a mean proxy has eight requests a second
-    d = crowd(nodes(60, 60), tenants=quota)[0]
-    at_rate(d, 125.0 / times, 12.0, took=60.0)
-    last = at_rate(d, 125.0 / times, 6.0, took=60.0)
-    mean = 6.0 * 120 / PROXIES  # each node is used by about six proxies
-    assert 0.7 * mean * times <= len(last) <= 1.2 * mean * times
-
-
-def test_no_proxy_quiesces_alone_among_many_that_share_nodes() -> None:
-    """A quiesce empties nodes only if all keep it: alone it rejected nearly all for 5.5 s, for nothing."""
-    d = crowd(nodes(30, 30))[0]
-    at_rate(d, 200.0, 2.0, took=60.0)
-    got = at_rate(d, 200.0, 8.0, took=300.0)  # slow by what the others send, whatever this one does
-    assert sum(got.values()) >= 35 and len(got) > 4
-
-
-COLD_MS, TIP_MS, UPDATE_MS = 8900.0, 1000.0, 10_000.0
-
-
-def sent_by(d: Driver, r: Random, each_ms: float, update: list[EndpointEntry]) -> list[tuple[bytes, float]]:
-    """What one proxy sends where, and when. It gets the update up to 1.5 s late."""
-    begun, sent, number = d.now, [], 0
-    todo: list[tuple[float, int, Event]] = []
-
-    def plan(after: float, event: Event) -> None:
-        nonlocal number
-        number += 1
-        heappush(todo, (d.now + after, number, event))
-
-    plan(UPDATE_MS + r.uniform(0.0, 1500.0), EndpointListUpdate(UpdateMode.DELTA, update, 2))
-    plan(r.expovariate(1.0 / each_ms), Request(1, 2000.0))
-    while todo[0][0] < begun + UPDATE_MS + COLD_MS:
-        d.now, _, event = heappop(todo)
-        if type(event) is Request:
-            plan(r.expovariate(1.0 / each_ms), Request(event.id + 1, 2000.0))
-        for action in d.handle(event):
-            if type(action) is Send:
-                sent.append((action.endpoint, d.now))
-                plan(
-                    r.uniform(30.0, 90.0), Outcome(action.id, 0, action.endpoint, AttemptStatus.OK, 0.0, True)
-                )
-            elif type(action) is SetTimer:
-                plan(action.delay_ms, TimerFired(action.token))
+# ---- proxies with more or slower traffic than others ----------------------------------------------
+
+
+def send_at_interval(
+    driver: Driver, interval_ms: float, duration_s: float, latency_ms: float
+) -> Counter[bytes]:
+    """Send requests at an interval, each served after the latency; return how many each endpoint got."""
+    sent: Counter[bytes] = Counter()
+    outstanding: list[tuple[float, Send]] = []
+    end_ms = driver.now + 1000.0 * duration_s
+    while driver.now < end_ms:
+        while outstanding and outstanding[0][0] <= driver.now:
+            send = outstanding.pop(0)[1]
+            driver.handle(Outcome(send.id, 0, send.endpoint, AttemptStatus.OK, latency_ms, True))
+        for send in sends(driver.request()):
+            sent[send.endpoint] += 1
+            outstanding.append((driver.now + latency_ms, send))
+        driver.now += interval_ms
     return sent
 
 
-@pytest.mark.parametrize(("factor", "least"), [(2.5, 0.1), (2.0, 0.1)])
-@pytest.mark.parametrize(("proxies", "warm", "cold"), [(20, 12, 4), (30, 20, 8), (200, 100, 40)])
-def test_attempts_of_all_proxies_at_cold_nodes_stay_within_chance_of_their_budget(
-    proxies: int, warm: int, cold: int, factor: float, least: float
+@pytest.mark.parametrize("multiple", [1, 3, 6])
+def test_proxy_with_a_multiple_of_the_traffic_uses_as_many_times_more_endpoints(multiple: int) -> None:
+    """With six endpoints for six times the mean traffic, a dozen proxies once rejected half of theirs."""
+    tenants = [Tenant("a", 1.0, 8.0 * PROXY_COUNT)]  # a mean proxy has eight requests a second
+    driver = start_proxies(make_entries(60, 60), tenants=tenants)[0]
+    send_at_interval(driver, 125.0 / multiple, 12.0, latency_ms=60.0)
+
+    sent = send_at_interval(driver, 125.0 / multiple, 6.0, latency_ms=60.0)
+
+    mean = 6.0 * 120 / PROXY_COUNT  # each endpoint is used by about six proxies
+    assert 0.7 * mean * multiple <= len(sent) <= 1.2 * mean * multiple
+
+
+def test_no_proxy_quiesces_alone_among_many_that_share_endpoints() -> None:
+    """Quiescing relieves an endpoint only if all proxies do: one alone rejected nearly all for 5.5 s."""
+    driver = start_proxies(make_entries(30, 30))[0]
+    send_at_interval(driver, 200.0, 2.0, latency_ms=60.0)
+
+    # Slow because of what the other proxies send, whatever this one does.
+    sent = send_at_interval(driver, 200.0, 8.0, latency_ms=300.0)
+
+    assert sum(sent.values()) >= 35
+    assert len(sent) > 4
+
+
+# ---- the budget of cold endpoints over all proxies ------------------------------------------------
+
+SLOW_START_MS = 8900.0
+OVERLOAD_WINDOW_MS = 1000.0
+UPDATE_AFTER_MS = 10_000.0  # from the start of a proxy to the update of the endpoint list
+MAX_UPDATE_DELAY_MS = 1500.0
+TIME_LEFT_MS = 2000.0
+WARM_CAPACITY_PER_S = 25.0  # requests
+
+
+class ProxySchedule:
+    """One proxy in virtual time: its random requests, the responses to them, its timers and an update."""
+
+    def __init__(
+        self, driver: Driver, random: Random, interval_ms: float, update: list[EndpointEntry]
+    ) -> None:
+        self._driver = driver
+        self._random = random
+        self._interval_ms = interval_ms
+        self._events: list[tuple[float, int, Event]] = []
+        self._event_count = 0
+        update_delay_ms = random.uniform(0.0, MAX_UPDATE_DELAY_MS)
+        self._plan(UPDATE_AFTER_MS + update_delay_ms, EndpointListUpdate(UpdateMode.DELTA, update, 2))
+        self._plan_request(1)
+
+    def run(self) -> Iterator[Send]:
+        """Yield what the proxy sends, at the moment of `driver.now`, until the slow start has ended."""
+        end_ms = self._driver.now + UPDATE_AFTER_MS + SLOW_START_MS
+        while self._events[0][0] < end_ms:
+            self._driver.now, _, event = heappop(self._events)
+            if isinstance(event, Request):
+                self._plan_request(event.id + 1)
+            for action in self._driver.handle(event):
+                if isinstance(action, Send):
+                    yield action
+                self._take(action)
+
+    def _take(self, action: Action) -> None:
+        if isinstance(action, Send):
+            outcome = Outcome(action.id, 0, action.endpoint, AttemptStatus.OK, 0.0, True)
+            self._plan(self._random.uniform(30.0, 90.0), outcome)
+        elif isinstance(action, SetTimer):
+            self._plan(action.delay_ms, TimerFired(action.token))
+
+    def _plan_request(self, request_id: int) -> None:
+        self._plan(self._random.expovariate(1.0 / self._interval_ms), Request(request_id, TIME_LEFT_MS))
+
+    def _plan(self, after_ms: float, event: Event) -> None:
+        self._event_count += 1
+        heappush(self._events, (self._driver.now + after_ms, self._event_count, event))
+
+
+@pytest.mark.parametrize(("overload_factor", "initial_share"), [(2.5, 0.1), (2.0, 0.1)])
+@pytest.mark.parametrize(
+    ("proxy_count", "warm_count", "cold_count"), [(20, 12, 4), (30, 20, 8), (200, 100, 40)]
+)
+def test_attempts_of_all_proxies_at_cold_endpoints_stay_within_chance_of_their_budget(
+    proxy_count: int, warm_count: int, cold_count: int, overload_factor: float, initial_share: float
 ) -> None:
-    """As they come three in four of the others go, and what is asked would fill those that stay twice over.
-    One proxy in six has four times the traffic of most. In no window of the time that tips a node does one
-    get more than 2 root N + 2 beyond its budget of N, where a warm one can do `carry` requests a second."""
-    carry = 25.0
-    r = Random(proxies)
-    old, new = nodes(warm // 2, warm // 2), nodes(cold // 2, cold // 2)
-    for entry in new:
-        entry.id, entry.started_at_ms = b"new" + entry.id, 1_000_000.0 + UPDATE_MS
-    left = [replace(e, availability=Availability.GONE) for n, e in enumerate(old) if n % 4]
-    shares = [r.choice((0.5, 0.7, 1.0, 1.0, 1.0, 4.0)) for _ in range(proxies)]
-    asked = 0.8 * carry * warm  # a second, by all
-    settings = {"cold_overload_factor": factor, "initial_capacity_share": least, "slow_start_ms": COLD_MS}
-    settings |= {"cold_overload_window_ms": TIP_MS}
-    settings |= {"instance_count": proxies, "tenants": [Tenant("x", 1.0, asked)]}
-    got: dict[bytes, list[float]] = {entry.id: [] for entry in new}
-    for k, share in enumerate(shares):
-        d = Driver(instance_number=k, zone=k % 2, seed=k, **settings)
-        d.update_list(*old)
-        for server, at in sent_by(d, r, 1000.0 * sum(shares) / share / asked, [*left, *new]):
-            if server in got:
-                got[server].append(at - 1_000_000.0 - UPDATE_MS)
-    assert sum(map(len, got.values())) > 0.1 * cold * carry * COLD_MS / 1000.0  # they are used
-    for times in map(sorted, got.values()):
-        for first, at in enumerate(times):
-            warmth = least + (1.0 - least) * at / COLD_MS
-            budget = factor * warmth * carry * TIP_MS / 1000.0
-            assert sum(t < at + TIP_MS for t in times[first:]) <= budget + 2.0 * budget**0.5 + 2.0
+    """Three in four warm endpoints are removed as the cold ones are added; the rest cannot take the load.
+
+    One proxy in six has four times the traffic of most. In no overload window may a cold endpoint get more
+    than 2 root N + 2 attempts beyond its budget of N, where a warm one serves WARM_CAPACITY_PER_S.
+    """
+    random = Random(proxy_count)
+    warm = make_entries(warm_count // 2, warm_count // 2)
+    cold = make_entries(cold_count // 2, cold_count // 2)
+    for entry in cold:
+        entry.id = b"new" + entry.id
+        entry.started_at_ms = START_MS + UPDATE_AFTER_MS
+    removed = [
+        replace(entry, availability=Availability.GONE) for number, entry in enumerate(warm) if number % 4
+    ]
+    traffic_shares = [random.choice((0.5, 0.7, 1.0, 1.0, 1.0, 4.0)) for _ in range(proxy_count)]
+    requests_per_s = 0.8 * WARM_CAPACITY_PER_S * warm_count  # of all proxies together
+    settings = {
+        "cold_overload_factor": overload_factor,
+        "initial_capacity_share": initial_share,
+        "slow_start_ms": SLOW_START_MS,
+        "cold_overload_window_ms": OVERLOAD_WINDOW_MS,
+        "instance_count": proxy_count,
+        "tenants": [Tenant("x", 1.0, requests_per_s)],
+    }
+
+    attempts_at_ms: dict[bytes, list[float]] = {entry.id: [] for entry in cold}
+    for number, traffic_share in enumerate(traffic_shares):
+        driver = Driver(instance_number=number, zone=number % 2, seed=number, **settings)
+        driver.update_list(*warm)
+        interval_ms = 1000.0 * sum(traffic_shares) / traffic_share / requests_per_s
+        for send in ProxySchedule(driver, random, interval_ms, [*removed, *cold]).run():
+            if send.endpoint in attempts_at_ms:
+                attempts_at_ms[send.endpoint].append(driver.now - START_MS - UPDATE_AFTER_MS)
+
+    served_by_all_when_warm = cold_count * WARM_CAPACITY_PER_S * SLOW_START_MS / 1000.0
+    assert sum(map(len, attempts_at_ms.values())) > 0.1 * served_by_all_when_warm  # they are used
+    for times_ms in map(sorted, attempts_at_ms.values()):
+        for first, at_ms in enumerate(times_ms):
+            warm_up_factor = initial_share + (1.0 - initial_share) * at_ms / SLOW_START_MS
+            budget = overload_factor * warm_up_factor * WARM_CAPACITY_PER_S * OVERLOAD_WINDOW_MS / 1000.0
+            in_window = sum(time_ms < at_ms + OVERLOAD_WINDOW_MS for time_ms in times_ms[first:])
+            assert in_window <= budget + 2.0 * budget**0.5 + 2.0
