--- a/benchmarks/accept_rate.py
+++ b/benchmarks/accept_rate.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import asyncio
-import multiprocessing as mp
+import multiprocessing
 import socket
 import time
 from collections import deque
@@ -30,7 +30,9 @@
 REQUEST = b"GET /ready HTTP/1.1\r\nHost: benchmark\r\n\r\n"
 RESPONSE_BYTES = 1024
 STOP = "stop"
-STEP_S = 0.01
+CLOSE_POLL_INTERVAL_S = 0.01
+OPEN_BEYOND_LIMIT = 64  # clients over the limit that stay open here before the oldest is closed
+MICROSECONDS_PER_S = 1e6
 
 
 def serve(connection_limit: int, pipe: Connection) -> None:
@@ -47,27 +49,27 @@
     pipe.send(("127.0.0.1", listener.port))
     stop = asyncio.Event()
     asyncio.get_running_loop().add_reader(pipe.fileno(), stop.set)
-    started = time.process_time()
+    started_at_s = time.process_time()
     await stop.wait()
-    pipe.send(time.process_time() - started)
+    pipe.send(time.process_time() - started_at_s)
     listener.abort_all()
     while listener.open_count:
-        await asyncio.sleep(STEP_S)
+        await asyncio.sleep(CLOSE_POLL_INTERVAL_S)
 
 
 def connect_clients(address: tuple[str, int], count: int, connection_limit: int, silent: bool) -> float:
     """Connect so many clients; return the seconds taken. Evicted ones are closed here after a while."""
     clients: deque[socket.socket] = deque()
-    started = time.perf_counter()
+    started_at_s = time.perf_counter()
     for _ in range(count):
         client = socket.create_connection(address)
         clients.append(client)
         if not silent:
             client.sendall(REQUEST)
             client.recv(RESPONSE_BYTES)
-        if len(clients) > connection_limit + 64:
+        if len(clients) > connection_limit + OPEN_BEYOND_LIMIT:
             clients.popleft().close()
-    elapsed_s = time.perf_counter() - started
+    elapsed_s = time.perf_counter() - started_at_s
     for client in clients:
         client.close()
     return elapsed_s
@@ -80,16 +82,22 @@
     """Measure for each limit of open connections."""
     click.echo("open at most   accepted a second   CPU us per connection")
     for connection_limit in CONNECTION_LIMITS:
-        ours, theirs = mp.Pipe()
-        server = mp.Process(target=serve, args=(connection_limit, theirs), daemon=True)
+        parent_end, child_end = multiprocessing.Pipe()
+        server = multiprocessing.Process(target=serve, args=(connection_limit, child_end), daemon=True)
         server.start()
-        address = ours.recv()
-        elapsed_s = connect_clients(address, connections, connection_limit, silent)
-        ours.send(STOP)
-        cpu_s = ours.recv()
+        # While the parent has the child's end open too, `recv` never sees the end of file of a dead child.
+        child_end.close()
+        try:
+            address = parent_end.recv()
+            elapsed_s = connect_clients(address, connections, connection_limit, silent)
+            parent_end.send(STOP)
+            cpu_s = parent_end.recv()
+        except EOFError as error:
+            raise click.ClickException(f"limit {connection_limit}: the listener's process died") from error
         server.join()
         rate = connections / elapsed_s
-        click.echo(f"{connection_limit:12}{rate:20.0f}{1e6 * cpu_s / connections:24.0f}")
+        cpu_us = MICROSECONDS_PER_S * cpu_s / connections
+        click.echo(f"{connection_limit:12}{rate:20.0f}{cpu_us:24.0f}")
 
 
 if __name__ == "__main__":
