--- a/tests/test_accept_queue.py
+++ b/tests/test_accept_queue.py
@@ -72,9 +72,9 @@
         self.listener.start_accepting()
         self.port = self.listener.port
 
-    def _submit(self, client_request: ClientRequest, answer: ResponseCallback) -> int:
+    def _submit(self, client_request: ClientRequest, respond: ResponseCallback) -> int:
         self.submitted.append(client_request)
-        answer(Rejected())
+        respond(Rejected())
         return 0
 
     @property
--- a/tests/test_balancer_admission_queue.py
+++ b/tests/test_balancer_admission_queue.py
@@ -27,12 +27,13 @@
     driver.update_list()
     for left in (400.0, 90.0, 300.0, 60.0, 200.0):
         driver.request(left=left)
-    answered: dict[int, float] = {}
+    response_after_ms: dict[int, float] = {}
     start = driver.now
-    while len(answered) < 5 and driver.now < start + 500.0:
+    while len(response_after_ms) < 5 and driver.now < start + 500.0:
         driver.now += 8.0
-        answered.update({a.id: driver.now - start for a in finals(driver.timer(QUEUE_TIMER))})
-    assert all(answered[i + 1] < left for i, left in enumerate((400.0, 90.0, 300.0, 60.0, 200.0)))
+        for action in finals(driver.timer(QUEUE_TIMER)):
+            response_after_ms[action.id] = driver.now - start
+    assert all(response_after_ms[i + 1] < left for i, left in enumerate((400.0, 90.0, 300.0, 60.0, 200.0)))
 
 
 def test_queued_requests_go_by_quota_then_priority_then_youngest_first() -> None:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -29,7 +29,7 @@
 )
 
 LOCAL_AGENT = {"discovery": "pushed"}
-# The time after which an update counts as notified, in some tests: a third of the protocol's, to be quick.
+# The time after which an update counts as notified, in some tests: a third of the protocol's, to save time.
 UPDATE_TIME_S = 2.0
 PROXY_COUNT = 40
 BACKOFF_COUNT = 6
@@ -133,7 +133,7 @@
         is_back.set()
         back_at = time.monotonic()
         await calls_until(rig.discovery, b"since=9&")
-        assert time.monotonic() - back_at < delay_s + 1.0  # 0.15 s, and what a busy machine adds
+        assert time.monotonic() - back_at < delay_s + 1.0  # 0.15 s, and what a busy host adds
         assert await statuses_of_requests(rig, 6, "pay") == [200] * 6
         assert (len(draining.got), len(ready.got)) == (0, 6)
 
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -90,7 +90,7 @@
             if isinstance(a, Send):
                 self.check_send(a)
             elif isinstance(a, Reject | Fail):
-                request, deadline = self.open.pop(a.id)  # KeyError: a second final answer
+                request, deadline = self.open.pop(a.id)  # KeyError: a second final response
                 assert self.now <= deadline + self.cfg.response_slack_ms
                 if isinstance(a, Reject):
                     c = self.cfg.classes[request.cls]
@@ -233,7 +233,7 @@
 def test_rules_hold_under_any_legal_events(seed: int) -> None:
     world = play(seed)
     assert sum(isinstance(a, Send) for actions in world.trace for a in actions) > 15
-    # bounded memory: nothing is kept of requests long ended
+    # bounded memory: no state remains of requests that ended long ago
     assert set(world.lb.requests.pending) <= set(world.attempts) | set(world.open)
     assert len(world.lb.policies.queue.waiting.entries) <= len(world.open) + 50
     waiting = {id(r) for queue in world.lb.policies.queue.key_queues.by_key.values() for r in queue.requests}
--- a/tests/test_lab_emulator.py
+++ b/tests/test_lab_emulator.py
@@ -184,9 +184,13 @@
     await discovery.open()
     discovery.report(EndpointRecord("a", "127.0.0.1:1"))
     status, _, body = await send(discovery.port, get("", "/v1/endpoints"))
-    whole = json.loads(body)
-    assert status == 200 and whole["snapshot"] and [e["name"] for e in whole["endpoints"]] == ["a"]
-    target = f"/v1/endpoints?since={whole['index']}&timeout_ms=60000"
+    complete_list = json.loads(body)
+    assert (
+        status == 200
+        and complete_list["snapshot"]
+        and [e["name"] for e in complete_list["endpoints"]] == ["a"]
+    )
+    target = f"/v1/endpoints?since={complete_list['index']}&timeout_ms=60000"
     watch = asyncio.create_task(send(discovery.port, get("", target)))
     await asyncio.sleep(0.1)
     assert not watch.done()
--- a/tests/test_lab_load.py
+++ b/tests/test_lab_load.py
@@ -232,16 +232,17 @@
 
     Number i waits until then from i / 50 s on. So the percentiles are those of numbers 65, 21, 11 and 10.
     """
-    for _ in range(3):  # a run that calls itself invalid says nothing; so busy a machine is rare
+    for _ in range(3):  # an invalid run says nothing of the server; a host that busy is rare
         with StubServer(stall=STALL) as server:
             result = workers.run(server.url, lay_out(STALLED), 2)
         if result.is_valid:
             break
     assert result.is_valid and result.summary()["outcomes"]["served"] == 110
-    whole, end = result.merged_latency(), server.first_at - result.started_at_s + STALL[1]
+    latency = result.merged_latency()
+    end = server.first_at - result.started_at_s + STALL[1]
     for percentile, number in ((50.0, 65), (90.0, 21), (99.0, 11), (99.9, 10)):
         by_hand = end - number / STALLED.rate
-        assert whole.get_value_at_percentile(percentile) / 1e6 == pytest.approx(by_hand, rel=0.01)
+        assert latency.get_value_at_percentile(percentile) / 1e6 == pytest.approx(by_hand, rel=0.01)
 
 
 def test_the_same_run_counted_closed_loop_misses_the_stall() -> None:
@@ -292,8 +293,8 @@
         workers.run(server.url, lay_out(Traffic(rate=300.0, seconds=0.3)), 1)
     ids = Counter()
     for head in server.heads:
-        line, *rest = head.decode().split("\r\n")
-        fields = {name.lower(): value for name, _, value in (f.partition(": ") for f in rest if f)}
+        line, *header_lines = head.decode().split("\r\n")
+        fields = {name.lower(): value for name, _, value in (f.partition(": ") for f in header_lines if f)}
         method, target, _ = line.split()
         assert target.split("/")[1] == fields["x-class"] and fields["x-tenant"] in (
             "large",
@@ -350,14 +351,15 @@
 
 def test_latency_counts_from_the_planned_moment_and_merges_exactly() -> None:
     tag = Tag("c", "t", Outcome.SERVED)
-    whole, parts = Result(100), [Result(50), Result(50)]
+    complete = Result(100)
+    parts = [Result(50), Result(50)]
     for i in range(100):
-        for result in (whole, parts[i % 2]):
+        for result in (complete, parts[i % 2]):
             result.count(RequestRecord(tag, planned_s=1.0, sent_s=1.5, ended_s=2.0 + i / 100, status=200))
     merged = Result(100)
     for part in parts:
         merged.add(part.encode())
-    assert merged.summary()["by"] == whole.summary()["by"]
+    assert merged.summary()["by"] == complete.summary()["by"]
     assert merged.summary()["latency_ms"]["p50"] == pytest.approx(1490.0, rel=0.002)
     assert merged.summary()["lateness_ms"]["p99"] == pytest.approx(500.0, rel=0.002) and not merged.is_valid
 
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -152,7 +152,7 @@
             if sent and not sent.endswith(b"b"):
                 writer.write(b"x")
             await asyncio.sleep(0.1)
-        assert 1.0 < time.monotonic() - started < LIMIT_S / 4  # 3 s is the aim; a slow host needs more
+        assert 1.0 < time.monotonic() - started < LIMIT_S / 4  # 3 s is intended; a slow host needs more
         assert not sent or b"HTTP/1.1 408" in received.result()
 
 
