--- a/alderspool/protocol/http_server.py
+++ b/alderspool/protocol/http_server.py
@@ -30,7 +30,14 @@
     503: b"Service Unavailable",
     504: b"Gateway Timeout",
 }
-STATUS_LINES = {status: b"HTTP/1.1 %d %b\r\n" % (status, phrase) for status, phrase in REASON_PHRASES.items()}
+
+
+def status_line(status: int) -> bytes:
+    """Return the status line; the reason phrase is empty for a status without one."""
+    return b"HTTP/1.1 %d %b\r\n" % (status, REASON_PHRASES.get(status, b""))
+
+
+STATUS_LINES = {status: status_line(status) for status in REASON_PHRASES}
 
 
 class CodecStatus(Enum):
@@ -177,7 +184,7 @@
         request = self._in_progress
         self._in_progress = None
         close = close or self.fault is not None or request is None or not request.keep
-        parts = [STATUS_LINES[status]]
+        parts = [STATUS_LINES.get(status) or status_line(status)]
         for name, value in headers:
             parts += (name, b": ", value, b"\r\n")
         parts.append(b"Content-Length: %d\r\n" % len(body))
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -420,3 +420,7 @@
     assert zones[1] == zones[3]
     assert len(set(zones)) == 4
     assert len({endpoint.entry.endpoint_type for endpoint in received.endpoints}) == 4
+
+
+def test_composes_a_response_whose_status_has_no_reason_phrase() -> None:
+    assert HttpServerCodec().compose(418, b"", [], True)[0].startswith(b"HTTP/1.1 418 \r\n")
