--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -507,16 +507,18 @@
         self._record = record
         self.served = self.refused = self.failed = self.foreign = self.unanswered = 0
 
-    async def play(self, rate: float, seconds: float, may_go_on: Callable[[], bool] = lambda: True) -> None:
-        """Send requests; return when all of them have ended."""
+    async def play(
+        self, rate: float, seconds: float, group: int = 1, may_go_on: Callable[[], bool] = lambda: True
+    ) -> None:
+        """Send requests, `group` of them at a time; return when all of them have ended."""
         loop = asyncio.get_running_loop()
         tasks = []
         at = loop.time()
         end = at + seconds
         while at < end and may_go_on():
-            at += random.expovariate(rate)
+            at += random.expovariate(rate / group)
             await asyncio.sleep(max(at - loop.time(), 0.0))
-            tasks.append(loop.create_task(self._send_one()))
+            tasks += [loop.create_task(self._send_one()) for _ in range(group)]
         await asyncio.gather(*tasks)
 
     async def _send_one(self) -> None:
