--- a/review/3/case.py
+++ b/review/3/case.py
@@ -28,12 +28,16 @@
 
     def answer(self, connection: h.BackendConnection, request_id: str, target: str) -> None:
         if h.has_trouble() and not connection.is_lost and random.random() < SPOILT_SHARE:
-            task = asyncio.get_running_loop().create_task(self._answer_without_end(connection, request_id, target))
+            task = asyncio.get_running_loop().create_task(
+                self._answer_without_end(connection, request_id, target)
+            )
             connection.task = task  # type: ignore[attr-defined]
             return
         super().answer(connection, request_id, target)
 
-    async def _answer_without_end(self, connection: h.BackendConnection, request_id: str, target: str) -> None:
+    async def _answer_without_end(
+        self, connection: h.BackendConnection, request_id: str, target: str
+    ) -> None:
         SpoilingBackend.spoilt += 1
         body = h.answer_body(request_id, target)
         transport = connection.transport
@@ -44,7 +48,9 @@
                 transport.write(BLOCK)
                 sent += len(BLOCK)
             await asyncio.sleep(0)
-        self.record.line(f"spoilt   {request_id} at {self.name}: {sent / 1e6:.1f} MB until the proxy ended it")
+        self.record.line(
+            f"spoilt   {request_id} at {self.name}: {sent / 1e6:.1f} MB until the proxy ended it"
+        )
 
 
 async def play(record: h.Record, folder: Path) -> bool:
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -57,7 +57,7 @@
         self._file.close()
 
 
-# ---- settings ------------------------------------------------------------------------------------------------
+# ---- settings ----------------------------------------------------------------------------------------------
 
 
 def sms_settings(**changes: object) -> dict:
@@ -135,7 +135,7 @@
     }
 
 
-# ---- HTTP ----------------------------------------------------------------------------------------------------
+# ---- HTTP --------------------------------------------------------------------------------------------------
 
 
 class HttpProtocol(asyncio.Protocol):
@@ -209,7 +209,7 @@
     return "\r\n".join([*lines, "", ""]).encode() + body
 
 
-# ---- backends ------------------------------------------------------------------------------------------------
+# ---- backends ----------------------------------------------------------------------------------------------
 
 
 class BackendConnection(HttpProtocol):
@@ -251,10 +251,14 @@
         self._server = await loop.create_server(lambda: BackendConnection(self), "127.0.0.1", 0)
         self.port = self._server.sockets[0].getsockname()[1]
 
-    def on_request(self, connection: BackendConnection, target: str, headers: dict[str, str], body: bytes) -> None:
+    def on_request(
+        self, connection: BackendConnection, target: str, headers: dict[str, str], body: bytes
+    ) -> None:
         self.runs += 1
         request_id = headers.get("x-request-id", "")
-        self.record.line(f"run      {request_id} {target} at {self.name} told {headers.get('x-deadline-ms')} ms")
+        self.record.line(
+            f"run      {request_id} {target} at {self.name} told {headers.get('x-deadline-ms')} ms"
+        )
         work_s = self.work_s(headers.get("x-class", ""))
         asyncio.get_running_loop().call_later(work_s, self.answer, connection, request_id, target)
 
@@ -279,7 +283,7 @@
     return f"answer made for {request_id} {target}\n".encode()
 
 
-# ---- discovery -----------------------------------------------------------------------------------------------
+# ---- discovery ---------------------------------------------------------------------------------------------
 
 
 class DiscoveryConnection(HttpProtocol):
@@ -323,7 +327,7 @@
             connection.transport.write(response(200, json.dumps(document).encode()))
 
 
-# ---- the platform --------------------------------------------------------------------------------------------
+# ---- the platform ------------------------------------------------------------------------------------------
 
 
 class Proxy:
@@ -417,7 +421,7 @@
         await asyncio.sleep(0.02)
 
 
-# ---- clients -------------------------------------------------------------------------------------------------
+# ---- clients -----------------------------------------------------------------------------------------------
 
 
 class ClientConnection(HttpProtocol):
@@ -445,7 +449,7 @@
 
 
 class Clients:
-    """The usual clients: keep their connections, one request at a time on each, open more when all are busy."""
+    """The usual clients: one request at a time on a connection, kept open; more when all are busy."""
 
     def __init__(self, proxy: Proxy) -> None:
         self._proxy = proxy
@@ -490,7 +494,7 @@
             return status, body
 
 
-# ---- traffic -------------------------------------------------------------------------------------------------
+# ---- traffic -----------------------------------------------------------------------------------------------
 
 CLASSES = {  # name: effect, deadline, share of the requests
     "status-check": ("free", 1000, 0.40),
@@ -556,7 +560,7 @@
         )
 
 
-# ---- running a case ------------------------------------------------------------------------------------------
+# ---- running a case ----------------------------------------------------------------------------------------
 
 
 TIME_LIMIT_S = 115.0
@@ -574,7 +578,7 @@
 
 
 def run_case(case_folder: Path, play: Callable[[Record, Path], object]) -> None:
-    """Run `play(record, folder)`, which returns whether the rule held; exit with the code that the case owes."""
+    """Run `play(record, folder)`, which returns whether the rule held; exit with the code for it."""
     record = Record(case_folder)
     folder = Path(tempfile.mkdtemp(prefix="review-"))
     code = COULD_NOT_RUN
