Limit chunk framing and trailers: one that never ended had the proxy killed for memory

Cause: HttpMessageCollector.feed counted the bytes of an incomplete head and reset the count once the head was complete. httptools keeps an unfinished trailer until it ends, joining all parts received so far to each new one, so memory grew with each byte and time with their square. Chunk extensions and chunk sizes without end are not kept, but were read until the deadline as well.

Change: the bytes of an incomplete message are counted to its end. Beyond its head and body it may have 16 KiB, and 8 bytes for each byte of the body, so that a 64 KiB body in chunks of one byte is still read. A client gets 413; an endpoint's attempt ends as a reset, which each class treats by its own rules for what may have run.

Why it works: each piece read is at most 16 KiB, so no message of either direction, and no list of discovery, can make the parser keep more than its limits and one piece.

--- a/alderspool/protocol/http_parts.py
+++ b/alderspool/protocol/http_parts.py
@@ -4,8 +4,9 @@
 
 httptools (llhttp) runs in strict mode and rejects ambiguous messages, which could be used for request
 smuggling: Content-Length together with Transfer-Encoding, differing or malformed lengths, folded headers and
-bare line feeds. It neither limits the size of heads and bodies nor separates trailers from headers; this
-module does both.
+bare line feeds. It limits neither heads nor bodies nor what surrounds a body (chunk sizes, chunk extensions
+and trailers), all of which a peer can send without end, and it does not separate trailers from headers; this
+module does all of that.
 """
 
 from __future__ import annotations
@@ -13,6 +14,10 @@
 from typing import NamedTuple, Protocol
 
 HEAD_LIMIT_BYTES = 16 * 1024
+# Limit of the chunk framing (sizes and extensions) and trailers of one message. For each byte of the body it
+# grows, so that a body in chunks of one byte, each with a size line and two line ends, is accepted.
+FRAMING_LIMIT_BYTES = 16 * 1024
+FRAMING_BYTES_PER_BODY_BYTE = 8
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -28,6 +33,7 @@
 
 HEAD_TOO_LARGE = CodecFailure(431, "head over 16 KiB")
 BODY_TOO_LARGE = CodecFailure(413, "body over the limit")
+FRAMING_TOO_LARGE = CodecFailure(413, "chunk framing and trailers over the limit")
 
 
 class HttpParser(Protocol):
@@ -40,6 +46,9 @@
 class HttpMessageCollector:
     """Collects the messages of one connection, one at a time.
 
+    The limits on the head and on chunk framing and trailers are applied after each piece that `feed` is
+    given, so memory is bounded by them and by the size of the pieces.
+
     `failure` is set when a limit is exceeded, or by a subclass. From then on body data is discarded, so that
     an endless body cannot exhaust the memory. `headers`, `target` and `body` belong to the current message,
     or to the last one between messages.
@@ -57,23 +66,26 @@
         self._body_parts: list[bytes] = []
         self._body_limit_bytes = body_limit_bytes
         self._body_size_bytes = 0
-        self._incomplete_head_bytes = 0  # bytes received since the last complete head or message
-        self._complete_message_count = 0
+        self._message_bytes = 0  # bytes received for the incomplete message, of all its parts
 
     def feed(self, parser: HttpParser, data: bytes) -> None:
         """Parse data.
 
         Raises HttpParserError for malformed input and HttpParserUpgrade for a protocol upgrade.
         """
-        count_before = self._complete_message_count
+        self._message_bytes += len(data)
         parser.feed_data(data)
-        if self.head_complete or self._complete_message_count != count_before:
-            self._incomplete_head_bytes = 0
+        self._check_message_size()
+
+    def _check_message_size(self) -> None:
+        """Set `failure` if the incomplete message has more bytes than its head and body can account for."""
+        if not self.head_complete:  # the head has no end so far, or only empty lines have been received
+            if self._message_bytes > HEAD_LIMIT_BYTES:
+                self.failure = self.failure or HEAD_TOO_LARGE
             return
-        self._incomplete_head_bytes += len(data)
-        # The head has no end so far, or only empty lines have been received.
-        if self._incomplete_head_bytes > HEAD_LIMIT_BYTES:
-            self.failure = self.failure or HEAD_TOO_LARGE
+        framing_limit_bytes = FRAMING_LIMIT_BYTES + FRAMING_BYTES_PER_BODY_BYTE * self._body_size_bytes
+        if self._message_bytes > HEAD_LIMIT_BYTES + self._body_size_bytes + framing_limit_bytes:
+            self.failure = self.failure or FRAMING_TOO_LARGE
 
     # ---- called by httptools -----------------------------------------------------------------------
 
@@ -121,7 +133,7 @@
     def on_message_complete(self) -> None:
         """Finish the message."""
         self.message_done()
-        self._complete_message_count += 1
+        self._message_bytes = 0  # the rest of the piece, which belongs to the next message, is not counted
         self.message_started = False
         self.head_complete = False
 
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -147,6 +147,68 @@
     assert parsed.status == status
 
 
+# What may follow a complete head without ever ending: a beginning, and a block to repeat without end.
+ENDLESS_FRAMING = {
+    "trailer-value": (b"4\r\ndone\r\n0\r\nX-Pad: ", b"p"),
+    "trailer-name": (b"4\r\ndone\r\n0\r\n", b"p"),
+    "trailer-fields": (b"4\r\ndone\r\n0\r\n", b"X-Pad: p\r\n"),
+    "chunk-extension": (b"4;", b"e"),
+    "chunk-extension-value": (b'4;e="', b"e"),
+    "chunk-size": (b"0", b"0"),
+}
+PIECE_BYTES = 16 * 1024
+MAX_FRAMING_BYTES = 64 * 1024  # an endless message of a few body bytes must be rejected within these
+ENDLESS_PIECES = {
+    name: [start, *([block * (PIECE_BYTES // len(block))] * (2 * MAX_FRAMING_BYTES // PIECE_BYTES))]
+    for name, (start, block) in ENDLESS_FRAMING.items()
+}
+
+
+@pytest.mark.parametrize("pieces", ENDLESS_PIECES.values(), ids=ENDLESS_PIECES.keys())
+def test_rejects_a_request_whose_chunk_framing_or_trailer_never_ends(pieces: list[bytes]) -> None:
+    """Guards against the crash of review/3 from the client side: no limit applied after the head."""
+    codec = HttpServerCodec()
+    codec.receive(request("pay", Content_Length=None, Transfer_Encoding="chunked"))
+    received_bytes = 0
+    for piece in pieces:
+        codec.receive(piece)
+        received_bytes += len(piece)
+        step = codec.next()
+        if step is not NEED_DATA:
+            break
+    assert isinstance(step, InvalidRequest)
+    assert step.status == 413
+    assert received_bytes <= MAX_FRAMING_BYTES
+
+
+@pytest.mark.parametrize("pieces", ENDLESS_PIECES.values(), ids=ENDLESS_PIECES.keys())
+def test_rejects_a_response_whose_chunk_framing_or_trailer_never_ends(pieces: list[bytes]) -> None:
+    """Guards against the crash for memory of review/3: no limit applied after the head of a response."""
+    codec = upstream.upstream_codec()
+    upstream.compose_attempt(codec, read_request(request("pay")).payload, 99.9)
+    codec.receive(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    received_bytes = 0
+    with pytest.raises(BrokenResponseError, match="framing"):
+        for piece in pieces:
+            received_bytes += len(piece)
+            codec.receive(piece)
+    assert received_bytes <= MAX_FRAMING_BYTES
+
+
+@pytest.mark.parametrize("trailer", [b"", b"X-Checksum: " + b"c" * 4000 + b"\r\n"], ids=["none", "4-kb"])
+def test_reads_the_longest_body_in_chunks_of_one_byte(trailer: bytes) -> None:
+    """The limit on chunk framing must not reject a body that is within its own limit."""
+    body = b"b" * upstream.BODY_LIMIT_BYTES
+    chunks = b"".join(b"01\r\n%c\r\n" % byte for byte in body) + b"0\r\n" + trailer + b"\r\n"
+    sent = request("pay", Content_Length=None, Transfer_Encoding="chunked") + chunks
+    codec = HttpServerCodec()
+    for start in range(0, len(sent), PIECE_BYTES):
+        codec.receive(sent[start : start + PIECE_BYTES])
+    parsed = codec.next()
+    assert isinstance(parsed, RawRequest)
+    assert parsed.body == body
+
+
 @pytest.mark.parametrize(
     ("data", "step"),
     [
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -15,6 +15,7 @@
 from rig import NOT_RUN, OK, SETTINGS, Rig, ScriptedServer, async_test, read_message, request, wait_for_target
 
 HEAD_WITHOUT_LENGTH = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
 def close_with_reset(writer: asyncio.StreamWriter) -> None:
@@ -180,6 +181,53 @@
         server.close()
 
 
+ENDLESS_TRAILER_BLOCK = b"a" * 65536
+MAX_ENDLESS_BYTES = 24 * 1024 * 1024  # the kernel's buffers between two sockets hold less
+
+
+@async_test
+async def test_endless_trailer_of_a_response_ends_the_attempt_long_before_its_deadline() -> None:
+    """Guards against review/3: trailers that never end were kept until the proxy was killed for memory."""
+    sent_bytes = 0
+
+    async def respond_endlessly(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        nonlocal sent_bytes
+        await read_message(reader)
+        writer.write(CHUNKED_HEAD + b"4\r\ndone\r\n0\r\nX-Checksum: ")
+        with contextlib.suppress(OSError):
+            while sent_bytes < MAX_ENDLESS_BYTES:
+                writer.write(ENDLESS_TRAILER_BLOCK)
+                await writer.drain()
+                sent_bytes += len(ENDLESS_TRAILER_BLOCK)
+        writer.transport.abort()
+
+    endpoint = ScriptedServer("s1")
+    async with Rig(endpoint) as rig:
+        server = await asyncio.start_server(respond_endlessly, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        await rig.wait_for_calls(1)
+        rig.queue_list(endpoint.entry(address=f"127.0.0.1:{port}"), index=5, snapshot=True)
+        await rig.wait_for_calls(2)
+        assert (await rig.get_response("pay", deadline_ms=5000))[0] == 502
+        assert sent_bytes < MAX_ENDLESS_BYTES
+        server.close()
+
+
+@async_test
+async def test_endless_trailer_of_a_request_is_rejected_while_other_clients_are_served() -> None:
+    """Guards against review/3 from the client side: the trailer was kept until the client's time was over."""
+    async with Rig(ScriptedServer("s1")) as rig:
+        reader, writer = await rig.connect(
+            request("pay", Content_Length=None, Transfer_Encoding="chunked") + b"0\r\nX-Checksum: "
+        )
+        writer.write(ENDLESS_TRAILER_BLOCK)  # well under what a lingering close discards
+        status, headers, _ = await read_message(reader)
+        assert status.startswith(b"HTTP/1.1 413 ")
+        assert headers["connection"] == "close"
+        assert (await rig.get_response())[0] == 200
+        writer.close()
+
+
 # ---- input while a connection closes --------------------------------------------------------------------
 
 
