Collect a body in one buffer: in chunks of two bytes it took 22 times its size

A 64 KiB body in chunks of two bytes took 1.4 MB, in a request, a response, and in proportion in a list of discovery.

The limit of the platform is 192 MB.

Change: the body is collected in a bytearray, which is cleared when the message is complete, and what an invalid message has left behind is dropped at the failure. After a failure the rest of a piece leaves nothing behind either.

Tests: test_codec_memory.py holds each codec to 192 MB / 1,024 descriptors for one connection; 5 of its 8 cases failed before (1.4 to 1.5 MB).

--- a/alderspool/protocol/http_client.py
+++ b/alderspool/protocol/http_client.py
@@ -104,7 +104,7 @@
         if self._status < FIRST_FINAL_STATUS:
             self._interim_count += 1
             if self._interim_count > MAX_INTERIM_RESPONSES:
-                self.failure = TOO_MANY_INTERIM_RESPONSES
+                self.fail(TOO_MANY_INTERIM_RESPONSES)
         elif not any(name in _LENGTH_HEADERS for name, _ in self.headers):
             self._ends_with_stream = self._awaits_response
             self.reusable = False
--- a/alderspool/protocol/http_parts.py
+++ b/alderspool/protocol/http_parts.py
@@ -49,9 +49,9 @@
     The limits on the head and on chunk framing and trailers are applied after each piece that `feed` is
     given, so memory is bounded by them and by the size of the pieces.
 
-    `failure` is set when a limit is exceeded, or by a subclass. From then on body data is discarded, so that
-    an endless body cannot exhaust the memory. `headers`, `target` and `body` belong to the current message,
-    or to the last one between messages.
+    `failure` is set when a limit is exceeded, or by a subclass. The incomplete message is dropped then, and
+    body data is discarded, so that an endless body cannot exhaust the memory. `headers`, `target` and `body`
+    belong to the current message; between messages `headers` and `target` are those of the last one.
 
     Subclasses own the parser, pass it to `feed`, and override `head_done` and `message_done`.
     """
@@ -63,7 +63,7 @@
         self.head_complete = False  # a message has started, and its head is complete but the message is not
         self.target = b""
         self.headers: Headers = []
-        self._body_parts: list[bytes] = []
+        self._body = bytearray()  # not a list of parts: an object for each small chunk would take far more
         self._body_limit_bytes = body_limit_bytes
         self._body_size_bytes = 0
         self._message_bytes = 0  # bytes received for the incomplete message, of all its parts
@@ -81,11 +81,22 @@
         """Set `failure` if the incomplete message has more bytes than its head and body can account for."""
         if not self.head_complete:  # the head has no end so far, or only empty lines have been received
             if self._message_bytes > HEAD_LIMIT_BYTES:
-                self.failure = self.failure or HEAD_TOO_LARGE
+                self.fail(HEAD_TOO_LARGE)
             return
         framing_limit_bytes = FRAMING_LIMIT_BYTES + FRAMING_BYTES_PER_BODY_BYTE * self._body_size_bytes
         if self._message_bytes > HEAD_LIMIT_BYTES + self._body_size_bytes + framing_limit_bytes:
-            self.failure = self.failure or FRAMING_TOO_LARGE
+            self.fail(FRAMING_TOO_LARGE)
+
+    def fail(self, failure: CodecFailure) -> None:
+        """Drop the incomplete message and set `failure`, unless it is already set."""
+        if self.failure is None:
+            self.failure = failure
+            self.drop_message()
+
+    def drop_message(self) -> None:
+        """Free the memory of the message that is being received."""
+        self.headers = []
+        self._body.clear()
 
     # ---- called by httptools -----------------------------------------------------------------------
 
@@ -95,7 +106,7 @@
         self.head_complete = False
         self.target = b""
         self.headers = []
-        self._body_parts = []
+        self._body.clear()
         self._body_size_bytes = 0
 
     def on_url(self, part: bytes) -> None:
@@ -108,7 +119,7 @@
         httptools also reports trailers here, after the body. They are dropped: taken for headers, they could
         change the meaning of the message.
         """
-        if not self.head_complete:
+        if not self.head_complete and self.failure is None:
             self.headers.append((name.lower(), value.strip(b" \t")))
 
     def on_headers_complete(self) -> None:
@@ -116,23 +127,25 @@
         self.head_complete = True
         head_size_bytes = sum(len(name) + len(value) for name, value in self.headers) + len(self.target)
         if head_size_bytes > HEAD_LIMIT_BYTES:
-            self.failure = self.failure or HEAD_TOO_LARGE
+            self.fail(HEAD_TOO_LARGE)
         for name, value in self.headers:
             if name == b"content-length" and int(value) > self._body_limit_bytes:
-                self.failure = self.failure or BODY_TOO_LARGE
-        self.head_done()
+                self.fail(BODY_TOO_LARGE)
+        if self.failure is None:
+            self.head_done()
 
     def on_body(self, part: bytes) -> None:
         """Append a part of the body unless a limit has been exceeded."""
         self._body_size_bytes += len(part)
         if self._body_size_bytes > self._body_limit_bytes:
-            self.failure = self.failure or BODY_TOO_LARGE
+            self.fail(BODY_TOO_LARGE)
         if self.failure is None:
-            self._body_parts.append(part)
+            self._body += part
 
     def on_message_complete(self) -> None:
         """Finish the message."""
         self.message_done()
+        self._body.clear()
         self._message_bytes = 0  # the rest of the piece, which belongs to the next message, is not counted
         self.message_started = False
         self.head_complete = False
@@ -140,7 +153,7 @@
     @property
     def body(self) -> bytes:
         """The body collected so far."""
-        return b"".join(self._body_parts)
+        return bytes(self._body)
 
     # ---- overridden by subclasses -------------------------------------------------------------------
 
--- a/alderspool/protocol/http_server.py
+++ b/alderspool/protocol/http_server.py
@@ -100,7 +100,7 @@
                 data = data[int(upgrade.args[0]) :]
                 self._parser = httptools.HttpRequestParser(self)
             except httptools.HttpParserError as error:
-                self.failure = CodecFailure(400, str(error))
+                self.fail(CodecFailure(400, str(error)))
 
     def head_done(self) -> None:
         """Check the HTTP version and the Host header of a request."""
@@ -108,7 +108,7 @@
         version = self._parser.get_http_version()
         self._is_http_1_1 = version == "1.1"
         if version not in ("1.0", "1.1") or (self._is_http_1_1 and b"host" not in names):
-            self.failure = self.failure or CodecFailure(400, "no HTTP/1.1, or without Host")
+            self.fail(CodecFailure(400, "no HTTP/1.1, or without Host"))
         self._expects_continue = b"expect" in names and (b"expect", b"100-continue") in self.headers
 
     def message_done(self) -> None:
@@ -137,7 +137,7 @@
             return self._request_in_progress
         if self.failure is not None:
             return self._next_failure(self.failure)
-        if self._expects_continue and not self._body_parts and self._request_in_progress is None:
+        if self._expects_continue and not self._body_size_bytes and self._request_in_progress is None:
             return CONTINUE
         return NEED_DATA
 
@@ -173,6 +173,7 @@
         """
         if self._request_in_progress is not None or self._failure_returned:
             return None
+        self.drop_message()
         self.failure = CodecFailure(408, "request not whole in time")
         self._failure_returned = True
         return InvalidRequest(*self.failure)
--- /dev/null
+++ b/tests/test_codec_memory.py
@@ -0,0 +1,64 @@
+"""Memory that the HTTP codecs keep for one connection, whatever its peer sends within the limits on bytes."""
+
+from __future__ import annotations
+
+import tracemalloc
+from collections.abc import Callable
+
+import pytest
+from rig import request
+
+from alderspool.protocol.downstream import HttpServerCodec
+from alderspool.protocol.http_client import HttpClientCodec
+from alderspool.protocol.upstream import BODY_LIMIT_BYTES, upstream_codec
+from alderspool.transport.streams import READ_SIZE
+
+# The platform gives 192 MB for 1,024 descriptors.
+MAX_BYTES_PER_CONNECTION = 192_000_000 // 1024
+
+HEAD_START = b"POST /pay/1 HTTP/1.1\r\nHost: x\r\n"
+TINY_HEADER = b"a:\r\n"
+TINY_CHUNK = b"2\r\nab\r\n"  # each object of one byte exists only once, objects of two bytes do not
+BODY_IN_TINY_CHUNKS = TINY_CHUNK * (BODY_LIMIT_BYTES // 2)
+CHUNKED_REQUEST = request("pay", Content_Length=None, Transfer_Encoding="chunked")
+CHUNKED_RESPONSE = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+REQUESTS = {
+    "tiny-headers": HEAD_START + TINY_HEADER * 1000,
+    "body-in-tiny-chunks": CHUNKED_REQUEST + BODY_IN_TINY_CHUNKS,
+    "complete-body-in-tiny-chunks": CHUNKED_REQUEST + BODY_IN_TINY_CHUNKS + b"0\r\n\r\n",
+    "too-long-body-in-tiny-chunks": CHUNKED_REQUEST + BODY_IN_TINY_CHUNKS + TINY_CHUNK,
+    "body-in-one-piece": request("pay", body=b"b" * BODY_LIMIT_BYTES),
+}
+RESPONSES = {
+    "tiny-headers": b"HTTP/1.1 200 OK\r\n" + TINY_HEADER * 1000,
+    "body-in-tiny-chunks": CHUNKED_RESPONSE + BODY_IN_TINY_CHUNKS,
+    "complete-body-in-tiny-chunks": CHUNKED_RESPONSE + BODY_IN_TINY_CHUNKS + b"0\r\n\r\n",
+}
+
+
+def memory_after(receive: Callable[[bytes], object], data: bytes) -> int:
+    """Return how many bytes are kept after this data has been received in pieces as they are read."""
+    pieces = [data[start : start + READ_SIZE] for start in range(0, len(data), READ_SIZE)]
+    tracemalloc.start()
+    try:
+        before, _ = tracemalloc.get_traced_memory()
+        results = [receive(piece) for piece in pieces]  # noqa: F841  # a complete response is kept too
+        after, _ = tracemalloc.get_traced_memory()
+        return after - before
+    finally:
+        tracemalloc.stop()
+
+
+@pytest.mark.parametrize("data", REQUESTS.values(), ids=REQUESTS.keys())
+def test_request_takes_no_more_memory_than_a_connection_may(data: bytes) -> None:
+    """Guards against a crash for memory by a few hundred clients: objects kept for each field or chunk."""
+    codec = HttpServerCodec()
+    assert memory_after(codec.receive, data) <= MAX_BYTES_PER_CONNECTION
+
+
+@pytest.mark.parametrize("data", RESPONSES.values(), ids=RESPONSES.keys())
+def test_response_takes_no_more_memory_than_a_connection_may(data: bytes) -> None:
+    """Guards against a crash for memory by spoilt responses: objects kept for each field or chunk."""
+    codec: HttpClientCodec = upstream_codec()
+    codec.compose(b"POST", b"/pay/1", [])
+    assert memory_after(codec.receive, data) <= MAX_BYTES_PER_CONNECTION
