Limit a head to 1,024 fields: one of tiny fields took 24 times its size

What callers would see: the proxy killed for memory by clients that each send a valid start of a head and then rest.

Cause: the limit of 16 KiB counts the bytes of a head, but each field is kept as a tuple and two bytes objects. A head has room for 4,096 fields of four bytes, which took 393 KB; 560 clients that rest with such a head for the 2.1 s that they have exceed 192 MB.

Change: more than 1,024 fields in the head of a request get 431; in a response they break the attempt.

Test: the case too-many-headers of test_codec_memory.py failed before (392,818 bytes, 187,500 allowed).

--- a/alderspool/protocol/http_parts.py
+++ b/alderspool/protocol/http_parts.py
@@ -14,6 +14,8 @@
 from typing import NamedTuple, Protocol
 
 HEAD_LIMIT_BYTES = 16 * 1024
+# An object is kept for each header field, of which a head of 16 KiB can have 4,096.
+MAX_HEADER_FIELDS = 1024
 # Limit of the chunk framing (sizes and extensions) and trailers of one message. For each byte of the body it
 # grows, so that a body in chunks of one byte, each with a size line and two line ends, is accepted.
 FRAMING_LIMIT_BYTES = 16 * 1024
@@ -32,6 +34,7 @@
 
 
 HEAD_TOO_LARGE = CodecFailure(431, "head over 16 KiB")
+TOO_MANY_HEADER_FIELDS = CodecFailure(431, f"over {MAX_HEADER_FIELDS} header fields")
 BODY_TOO_LARGE = CodecFailure(413, "body over the limit")
 FRAMING_TOO_LARGE = CodecFailure(413, "chunk framing and trailers over the limit")
 
@@ -119,8 +122,11 @@
         httptools also reports trailers here, after the body. They are dropped: taken for headers, they could
         change the meaning of the message.
         """
-        if not self.head_complete and self.failure is None:
-            self.headers.append((name.lower(), value.strip(b" \t")))
+        if self.head_complete or self.failure is not None:
+            return
+        self.headers.append((name.lower(), value.strip(b" \t")))
+        if len(self.headers) > MAX_HEADER_FIELDS:
+            self.fail(TOO_MANY_HEADER_FIELDS)
 
     def on_headers_complete(self) -> None:
         """Check the size of the head and the Content-Length, before any of the body is received."""
--- a/tests/test_codec_memory.py
+++ b/tests/test_codec_memory.py
@@ -24,6 +24,7 @@
 CHUNKED_RESPONSE = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 REQUESTS = {
     "tiny-headers": HEAD_START + TINY_HEADER * 1000,
+    "too-many-headers": HEAD_START + TINY_HEADER * 4000,
     "body-in-tiny-chunks": CHUNKED_REQUEST + BODY_IN_TINY_CHUNKS,
     "complete-body-in-tiny-chunks": CHUNKED_REQUEST + BODY_IN_TINY_CHUNKS + b"0\r\n\r\n",
     "too-long-body-in-tiny-chunks": CHUNKED_REQUEST + BODY_IN_TINY_CHUNKS + TINY_CHUNK,
