Discard requests that have left the retry budget's window also while nothing is retried

What callers would see: memory that grows by 32 bytes with each request, and after a long quiet time a pause at the first failure, while the balancer discards them all at once.

Cause: where the settings limit retries over a window, SlidingWindowCount recorded the time of each request, and discarded old ones only when retries were counted, which happens only when a request is about to be retried or hedged.

Change: the window is given its length and discards in `add` as well.

Tests: test_configured_budget_keeps_nothing_of_requests_that_have_left_its_window failed before; the container's own test has a further case. Also here: the case of pipelined requests in test_codec_memory.py, which passed before as well.

--- a/alderspool/balancer/containers.py
+++ b/alderspool/balancer/containers.py
@@ -9,23 +9,32 @@
 
 
 class SlidingWindowCount:
-    """Counts the events in a sliding time window. Times must not decrease."""
+    """Counts the events in a sliding time window of a given length. Times must not decrease."""
 
-    __slots__ = ("_times",)
+    __slots__ = ("_length", "_times")
 
-    def __init__(self) -> None:
+    def __init__(self, length: float) -> None:
+        self._length = length
         self._times: deque[float] = deque()
 
+    def __len__(self) -> int:
+        """Return the number of events that are kept: none from before the window."""
+        return len(self._times)
+
     def add(self, now: float) -> None:
-        """Record an event."""
+        """Record an event, and discard those that have left the window."""
+        self._discard_before(now - self._length)
         self._times.append(now)
 
     def count_since(self, start: float) -> int:
         """Return the number of events at or after `start`, and discard the earlier ones."""
+        self._discard_before(start)
+        return len(self._times)
+
+    def _discard_before(self, start: float) -> None:
         times = self._times
         while times and times[0] < start:
             times.popleft()
-        return len(times)
 
 
 def interleave_in_proportion(groups: list[list[Item]]) -> list[Item]:
--- a/alderspool/balancer/retry_budget.py
+++ b/alderspool/balancer/retry_budget.py
@@ -19,8 +19,8 @@
         self.tokens = INITIAL_TOKENS
         self._settings = settings
         self._has_configured_budget = settings.retry_budget_window_ms > 0.0
-        self._requests = SlidingWindowCount()
-        self._retries = SlidingWindowCount()
+        self._requests = SlidingWindowCount(settings.retry_budget_window_ms)
+        self._retries = SlidingWindowCount(settings.retry_budget_window_ms + settings.clock_step_ms)
 
     def deposit(self, now: float) -> None:
         """Credit a new request."""
--- a/tests/test_balancer_containers.py
+++ b/tests/test_balancer_containers.py
@@ -24,7 +24,7 @@
 
 
 def test_sliding_window_counts_events_since_the_given_start() -> None:
-    window = SlidingWindowCount()
+    window = SlidingWindowCount(length=10.0)
     for time in (1.0, 2.0, 2.0, 5.0):
         window.add(time)
     assert window.count_since(2.0) == 3
@@ -32,6 +32,15 @@
     assert window.count_since(0.0) == 1  # events before an earlier start have been discarded
 
 
+def test_sliding_window_keeps_no_event_from_before_its_length() -> None:
+    """Guards against memory that grows with each request for as long as nothing is counted."""
+    window = SlidingWindowCount(length=10.0)
+    for time in range(1000):
+        window.add(float(time))
+        assert len(window) <= 11
+    assert window.count_since(989.0) == 11
+
+
 @pytest.mark.parametrize(
     ("groups", "expected"),
     [
--- a/tests/test_balancer_retry_budget.py
+++ b/tests/test_balancer_retry_budget.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import tracemalloc
+
 from conftest import UNSAFE, Driver, final_actions, sends
 
 from alderspool.balancer.actions import (
@@ -43,6 +45,23 @@
     assert final_actions(driver.outcome(send.id, 1, send.endpoint, AttemptStatus.CONNECT_FAILED))
 
 
+def test_configured_budget_keeps_nothing_of_requests_that_have_left_its_window() -> None:
+    """Guards against memory that grows with each request of a quiet time, in which nothing is retried."""
+    driver = Driver([UNSAFE], retry_budget_window_ms=5000.0, retry_budget_floor=1.0, retry_budget_ratio=0.1)
+    driver.set_endpoints(4)
+    tracemalloc.start()
+    try:
+        driver.serve(1000, latency_ms=50.0)  # ten windows
+        driver.log.clear()
+        before, _ = tracemalloc.get_traced_memory()
+        driver.serve(1000, latency_ms=50.0)
+        driver.log.clear()
+        after, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert after - before < 1000  # one byte for each request
+
+
 def test_hedges_count_against_the_configured_budget() -> None:
     driver = Driver(
         retry_budget_window_ms=5000.0,
--- a/tests/test_codec_memory.py
+++ b/tests/test_codec_memory.py
@@ -28,6 +28,7 @@
     "body-in-tiny-chunks": CHUNKED_REQUEST + BODY_IN_TINY_CHUNKS,
     "complete-body-in-tiny-chunks": CHUNKED_REQUEST + BODY_IN_TINY_CHUNKS + b"0\r\n\r\n",
     "too-long-body-in-tiny-chunks": CHUNKED_REQUEST + BODY_IN_TINY_CHUNKS + TINY_CHUNK,
+    "pipelined-requests": b"GET / HTTP/1.1\r\nHost:\r\n\r\n" * (READ_SIZE // 26),
     "body-in-one-piece": request("pay", body=b"b" * BODY_LIMIT_BYTES),
 }
 RESPONSES = {
