Forget the keys of finished requests also while no endpoint is ready

What callers would see: memory that grows with each new key that clients send during an outage of all endpoints, at a site whose classes keep the order of a key.

Cause: idle key queues are dropped in the refresh, behind a return that leaves it early while the subset is empty.

Evidence: 500 keys in 5 s without a ready endpoint left 500 queues (test); now at most 200 are kept, those of requests that still wait.

Change: they are dropped before that return.

Test: test_keys_of_an_outage_are_forgotten_while_it_lasts failed before.

--- a/alderspool/balancer/refresh.py
+++ b/alderspool/balancer/refresh.py
@@ -59,12 +59,12 @@
         policies.connections.refresh(elapsed_ms)
         policies.queue.tenant_rps.decay(exp(-elapsed_ms / TRAFFIC_DECAY_MS))
         policies.latency.refresh(now, elapsed_ms)
+        policies.queue.key_queues.drop_idle(now)  # also while no endpoint is ready, and requests are rejected
         if not subset.selected:
             return False
         policies.outliers.refresh()
         self._rebuild_weights(now, elapsed_ms)
         begins_quiesce = self._rebuild_limits(now, elapsed_ms)
-        policies.queue.key_queues.drop_idle(now)
         if self._settings.peer_messages_allowed:
             policies.load_reports.peers.expire_silent_peers(now, PEER_SILENCE_MS)
         return begins_quiesce
--- a/tests/test_balancer_key_order.py
+++ b/tests/test_balancer_key_order.py
@@ -49,6 +49,18 @@
     assert third.id == 2  # a retry of the request whose turn it is
 
 
+def test_keys_of_an_outage_are_forgotten_while_it_lasts() -> None:
+    """Guards against memory that grows with each key that clients send while no endpoint is ready."""
+    driver = ordered_driver()
+    driver.update_list()
+    for key in range(1, 501):
+        driver.now += 10.0
+        driver.request(0, key=key)
+        driver.timer(timer_token(TimerKind.QUEUE))
+    queues = driver.policies.queue.key_queues.by_key
+    assert len(queues) <= 200  # those of the 1.5 s until a request's deadline, and of one refresh
+
+
 @pytest.mark.parametrize("status", [AttemptStatus.TIMEOUT, AttemptStatus.RESET, AttemptStatus.CANCELLED])
 def test_key_quiesces_after_an_attempt_that_may_still_be_running(status: AttemptStatus) -> None:
     driver = ordered_driver()
