Name three methods of the balancer that change state by what they change

Hard to read: _slow_share, try_expire and _is_over_quota read like queries, but reset what counts as slow, rank a request as late and count a request of its tenant. They are _update_slow_share, expire_or_rank_as_late and _count_and_check_quota now.

--- a/alderspool/balancer/admission_queue.py
+++ b/alderspool/balancer/admission_queue.py
@@ -63,7 +63,7 @@
         request.isolated_until = now + ISOLATED_SHARE_OF_OBJECTIVE * objective_ms
         margin_ms = RESPONSE_MARGIN_CLOCK_STEPS * self._settings.clock_step_ms
         request.respond_by = request.deadline - CHECK_INTERVAL_MS - margin_ms
-        if self._settings.tenants and self._is_over_quota(event.tenant):
+        if self._settings.tenants and self._count_and_check_quota(event.tenant):
             request.rank = QueueRank.OVER_QUOTA
         return request
 
@@ -71,10 +71,10 @@
         """Queue a request."""
         self.waiting.push(request, self._settings.classes[request.class_index].priority_weight)
 
-    def try_expire(self, request: RequestState, now: float) -> bool:
-        """Handle a request whose time in the queue is over.
+    def expire_or_rank_as_late(self, request: RequestState, now: float) -> bool:
+        """Handle a request whose time in the queue is over; return whether it is to be given up.
 
-        Returns True if it is to be given up; otherwise, it is ranked as late and stays until `respond_by`.
+        If it is not, it is ranked as late and stays until `respond_by`.
         """
         is_late_useless = self._settings.classes[request.class_index].late_priority_weight <= 0.0
         if now >= request.respond_by or is_late_useless:
@@ -128,7 +128,7 @@
             return request_class.latency_objective_ms
         return request_class.latency_objective_ms + event.time_left_ms - request_class.deadline_ms
 
-    def _is_over_quota(self, tenant: int) -> bool:
+    def _count_and_check_quota(self, tenant: int) -> bool:
         """Count a request of the tenant; return whether it exceeds its quota and waits behind the others."""
         tenants = self._settings.tenants
         if tenant >= len(tenants):
--- a/alderspool/balancer/concurrency_limit.py
+++ b/alderspool/balancer/concurrency_limit.py
@@ -96,7 +96,7 @@
     def adjust_limit(self, now: float, elapsed_ms: float, is_queueing: bool) -> bool:
         """Adjust the limit to the share of slow work; return whether a quiesce begins."""
         low_load = LOW_LOAD / self.sharing_instances
-        slow_share = self._slow_share(now)
+        slow_share = self._update_slow_share(now)
         if slow_share > TARGET_SLOW_SHARE:
             self.per_endpoint *= exp(FALL_PER_S * (TARGET_SLOW_SHARE - slow_share) * elapsed_ms / 1000.0)
         elif is_queueing and self.total_in_flight > MIN_USED_SHARE * self.total:
@@ -140,10 +140,10 @@
         in_flight = sum(endpoint.in_flight for endpoint in responsive)
         self.total = max(self.per_endpoint * size / mean_size, 1.0) + self.total_in_flight - in_flight
 
-    def _slow_share(self, now: float) -> float:
+    def _update_slow_share(self, now: float) -> float:
         """Return the share of the work that was slow, or late while only late work counts.
 
-        Slow work counts again once it has become rare after a quiesce.
+        Once slow work has become rare after a quiesce, it counts again: `counts_late_only` is reset here.
         """
         ended_work = self.work.ended + PRIOR_WORK
         slow_share = self.work.slow / ended_work
--- a/alderspool/balancer/request_dispatch.py
+++ b/alderspool/balancer/request_dispatch.py
@@ -285,7 +285,8 @@
     def _give_up_if_expired(self, request: RequestState) -> bool:
         """Give up a request that was queued for too long; return whether it is finished."""
         now = self.now
-        if (now > request.queue_until or now >= request.respond_by) and self._queue.try_expire(request, now):
+        is_due = now > request.queue_until or now >= request.respond_by
+        if is_due and self._queue.expire_or_rank_as_late(request, now):
             self._give_up(request)
         return request.is_finished
 
