Replace a check that cannot fail, and compare classes and keys at another rate too

test_congestion_degrades_endpoint_until_it_is_nearly_idle ended with an assertion on an endpoint without any attempt, which holds whatever the code does. The test of the load plan compared only tenants at half the rate.

--- a/tests/test_lab_load.py
+++ b/tests/test_lab_load.py
@@ -121,8 +121,10 @@
     assert key_counts[0] / key_counts[9] == pytest.approx(10.0, rel=0.2)
     half_rate_plan = generate_plan(with_overrides(traffic, rate=5_000.0))
     half_rate_count = len(half_rate_plan)
-    # Another rate does not change the tenants.
+    # Another rate changes neither the classes nor the tenants nor the keys.
+    assert np.array_equal(plan.class_index[:half_rate_count], half_rate_plan.class_index)
     assert np.array_equal(plan.tenant_index[:half_rate_count], half_rate_plan.tenant_index)
+    assert np.array_equal(plan.key[:half_rate_count], half_rate_plan.key)
     assert np.array_equal(generate_plan(traffic).at_s, plan.at_s)
 
 
--- a/tests/test_lab_models.py
+++ b/tests/test_lab_models.py
@@ -170,16 +170,23 @@
         "degradation_recovery_ms": 300.0,
     }
     endpoint = make_endpoint(max_queued=99, **profile)
+    short = make_endpoint(max_queued=99, **profile, degradation_max_ms=100.0)
     for number in range(20):
-        endpoint.offer(0.0, EndpointAttempt(number, 100.0))  # 1000 ms of work for both cores
+        for congested in (endpoint, short):
+            congested.offer(0.0, EndpointAttempt(number, 100.0))  # 1000 ms of work for both cores
     endpoint.advance(490.0)
     assert endpoint.degraded_since_ms is None
     endpoint.advance(520.0)
     assert endpoint.degraded_since_ms is not None and endpoint.rate(520.0) == pytest.approx(1 / 3)
+    short.advance(520.0)
+    assert short.degraded_since_ms is not None
+    for congested in (endpoint, short):
+        congested.advance(650.0)
+    assert endpoint.degraded_since_ms is not None
+    assert short.degraded_since_ms is None  # after its maximum duration, still congested
     completions = endpoint.advance(10_000.0)
     assert max(e.at_ms for e in completions) == pytest.approx(500.0 + 3 * 500.0, abs=30.0)
     assert endpoint.degraded_since_ms is None  # recovered while it was idle
-    assert make_endpoint(max_queued=99, **profile, degradation_max_ms=100.0).degraded_since_ms is None
 
 
 def test_degradation_ends_after_its_maximum_duration() -> None:
