Replace the buffer of a finished body: an emptied one kept the heap fragmented

What callers would see: memory that grows with each wave of clients whose bodies time out, until the garbage collector runs.

Cause: bytearray.clear() shrinks the buffer to one byte where it stands. Closed connections stay until the garbage collector runs, since a parser and its codec refer to each other, so those bytes divide the heap into gaps that are a little too small for the next body.

Change: the buffer is replaced by a new one.

Test: test_memory_of_timed_out_bodies_is_used_again_before_the_garbage_collector_runs failed before (+75 MB, 16 MB allowed).

--- a/alderspool/protocol/http_parts.py
+++ b/alderspool/protocol/http_parts.py
@@ -99,7 +99,7 @@
     def drop_message(self) -> None:
         """Free the memory of the message that is being received."""
         self.headers = []
-        self._body.clear()
+        self._body = bytearray()
 
     # ---- called by httptools -----------------------------------------------------------------------
 
@@ -109,7 +109,6 @@
         self.head_complete = False
         self.target = b""
         self.headers = []
-        self._body.clear()
         self._body_size_bytes = 0
 
     def on_url(self, part: bytes) -> None:
@@ -151,7 +150,8 @@
     def on_message_complete(self) -> None:
         """Finish the message."""
         self.message_done()
-        self._body.clear()
+        if self._body_size_bytes:
+            self._body = bytearray()  # `clear` would leave a byte behind, which keeps the heap fragmented
         self._message_bytes = 0  # the rest of the piece, which belongs to the next message, is not counted
         self.message_started = False
         self.head_complete = False
--- a/tests/test_codec_memory.py
+++ b/tests/test_codec_memory.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import gc
+import resource
 import tracemalloc
 from collections.abc import Callable
+from pathlib import Path
 
 import pytest
 from rig import request
@@ -64,3 +67,36 @@
     codec: HttpClientCodec = upstream_codec()
     codec.compose(b"POST", b"/pay/1", [])
     assert memory_after(codec.receive, data) <= MAX_BYTES_PER_CONNECTION
+
+
+def resident_bytes() -> int:
+    """Return the resident memory of this process."""
+    resident_pages = int(Path("/proc/self/statm").read_text().split()[1])
+    return resident_pages * resource.getpagesize()
+
+
+def resident_bytes_with_incomplete_bodies(codec_count: int) -> int:
+    """Receive most of a body with each of many codecs, then time out; return the memory before that."""
+    codecs = [HttpServerCodec() for _ in range(codec_count)]
+    for codec in codecs:
+        codec.receive(request("pay", Content_Length=str(BODY_LIMIT_BYTES)))
+    for _ in range(BODY_LIMIT_BYTES // READ_SIZE - 1):
+        for codec in codecs:
+            codec.receive(b"b" * READ_SIZE)
+    resident = resident_bytes()
+    for codec in codecs:
+        codec.time_out()
+    return resident
+
+
+def test_memory_of_timed_out_bodies_is_used_again_before_the_garbage_collector_runs() -> None:
+    """Guards against a heap in which what is left of each connection makes the space between unusable."""
+    codec_count = 500
+    gc.collect()
+    gc.disable()
+    try:
+        first = resident_bytes_with_incomplete_bodies(codec_count)
+        later = [resident_bytes_with_incomplete_bodies(codec_count) for _ in range(3)]
+    finally:
+        gc.enable()
+    assert max(later) - first < codec_count * BODY_LIMIT_BYTES / 2
