Free the codec of a connection as it ends, instead of leaving it to the garbage collector

What callers would see: memory that rises with clients that send much at once and go, and with responses that break off, until the garbage collector runs.

Cause: httptools' parser holds the methods of its codec, and the codec its parser. So each ended connection kept its incomplete message, up to 64 KiB, and the parser's part of a trailer, up to 32 KiB, until a collection.

Change: HttpMessageCollector owns the parser and has `close`, which the end of a connection calls on both sides. The collector is generic in its parser, which `feed` no longer takes as an argument. Discovery's and health checks' codecs are left to the collector as before: they are few.

Test: test_closed_codec_is_freed_without_the_garbage_collector, one case for each side; `close` did not exist before.

--- a/alderspool/lab/emulator/http_server.py
+++ b/alderspool/lab/emulator/http_server.py
@@ -28,7 +28,7 @@
         return value.decode("latin-1") if value else None
 
 
-class HttpServerCodec(HttpMessageCollector):
+class HttpServerCodec(HttpMessageCollector[httptools.HttpRequestParser]):
     """Decodes requests. `failure` is set if the input is invalid or too large; no further requests follow."""
 
     def __init__(self) -> None:
@@ -39,9 +39,9 @@
     def receive(self, data: bytes) -> list[HttpRequest]:
         """Decode data that was read from the connection; return the requests that it completes."""
         try:
-            self.feed(self._parser, data)
+            self.feed(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self.failure = self.failure or CodecFailure(HTTPStatus.BAD_REQUEST, str(error))
+            self.fail(CodecFailure(HTTPStatus.BAD_REQUEST, str(error)))
         completed = self._completed
         self._completed = []
         return completed
--- a/alderspool/protocol/http_client.py
+++ b/alderspool/protocol/http_client.py
@@ -31,7 +31,7 @@
     body: bytes
 
 
-class HttpClientCodec(HttpMessageCollector):
+class HttpClientCodec(HttpMessageCollector[httptools.HttpResponseParser]):
     """Encodes the requests and decodes the responses of one connection.
 
     `reusable` tells whether another request may be sent on the connection. It becomes False permanently on
@@ -72,7 +72,7 @@
             self._end_stream(is_reset=data is None)
             return self._take_response()
         try:
-            self.feed(self._parser, data)
+            self.feed(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self.reusable = False
             if self._response is None:
--- a/alderspool/protocol/http_parts.py
+++ b/alderspool/protocol/http_parts.py
@@ -11,7 +11,7 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple, Protocol
+from typing import Generic, NamedTuple, Protocol, TypeVar
 
 HEAD_LIMIT_BYTES = 16 * 1024
 # An object is kept for each header field, of which a head of 16 KiB can have 4,096.
@@ -46,7 +46,10 @@
         """Parse data; calls the `on_` methods of the collector."""
 
 
-class HttpMessageCollector:
+Parser = TypeVar("Parser", bound=HttpParser)
+
+
+class HttpMessageCollector(Generic[Parser]):
     """Collects the messages of one connection, one at a time.
 
     The limits on the head and on chunk framing and trailers are applied after each piece that `feed` is
@@ -56,9 +59,11 @@
     body data is discarded, so that an endless body cannot exhaust the memory. `headers`, `target` and `body`
     belong to the current message; between messages `headers` and `target` are those of the last one.
 
-    Subclasses own the parser, pass it to `feed`, and override `head_done` and `message_done`.
+    Subclasses set `_parser`, which calls the `on_` methods, and override `head_done` and `message_done`.
     """
 
+    _parser: Parser
+
     def __init__(self, body_limit_bytes: int) -> None:
         """Create a collector that limits each body to `body_limit_bytes`."""
         self.failure: CodecFailure | None = None
@@ -71,13 +76,13 @@
         self._body_size_bytes = 0
         self._message_bytes = 0  # bytes received for the incomplete message, of all its parts
 
-    def feed(self, parser: HttpParser, data: bytes) -> None:
+    def feed(self, data: bytes) -> None:
         """Parse data.
 
         Raises HttpParserError for malformed input and HttpParserUpgrade for a protocol upgrade.
         """
         self._message_bytes += len(data)
-        parser.feed_data(data)
+        self._parser.feed_data(data)
         self._check_message_size()
 
     def _check_message_size(self) -> None:
@@ -101,6 +106,14 @@
         self.headers = []
         self._body = bytearray()
 
+    def close(self) -> None:
+        """Free the memory of a connection that has ended; nothing may be received after it.
+
+        The parser and this object refer to each other, and would wait for the garbage collector.
+        """
+        self.drop_message()
+        del self._parser
+
     # ---- called by httptools -----------------------------------------------------------------------
 
     def on_message_begin(self) -> None:
--- a/alderspool/protocol/http_server.py
+++ b/alderspool/protocol/http_server.py
@@ -62,7 +62,7 @@
     closes_connection: bool  # the response has `Connection: close`
 
 
-class HttpServerCodec(HttpMessageCollector):
+class HttpServerCodec(HttpMessageCollector[httptools.HttpRequestParser]):
     """Decodes the requests of one connection and encodes its responses.
 
     At most one request is in progress: `next` returns it, and `compose` encodes its response. Pipelined
@@ -88,7 +88,7 @@
         self._received_at_s = received_at_s
         while data and self.failure is None:
             try:
-                self.feed(self._parser, data)
+                self.feed(data)
                 return
             except httptools.HttpParserUpgrade as upgrade:
                 # The client asks to switch to another protocol. A server may ignore this: continue with the
--- a/alderspool/transport/request_loop.py
+++ b/alderspool/transport/request_loop.py
@@ -74,6 +74,7 @@
             if was_pending:
                 self._exchange.client_disconnected(connection.request_id)
             connection.writer.close()
+            connection.codec.close()
             self._table.exclude_from_eviction(connection)
             try:
                 with contextlib.suppress(OSError):
--- a/alderspool/transport/upstream_pool.py
+++ b/alderspool/transport/upstream_pool.py
@@ -147,6 +147,7 @@
                 await self._read(connection)
             finally:
                 connection.close()
+                connection.codec.close()
         finally:
             self._budget.release()
 
--- a/tests/test_codec_memory.py
+++ b/tests/test_codec_memory.py
@@ -5,6 +5,7 @@
 import gc
 import resource
 import tracemalloc
+import weakref
 from collections.abc import Callable
 from pathlib import Path
 
@@ -100,3 +101,19 @@
     finally:
         gc.enable()
     assert max(later) - first < codec_count * BODY_LIMIT_BYTES / 2
+
+
+@pytest.mark.parametrize("create", [HttpServerCodec, upstream_codec], ids=["request", "response"])
+def test_closed_codec_is_freed_without_the_garbage_collector(
+    create: Callable[[], HttpServerCodec | HttpClientCodec],
+) -> None:
+    """Guards against memory that grows with each connection that ends within a message."""
+    gc.disable()
+    try:
+        codec = create()
+        codec.close()
+        reference = weakref.ref(codec)
+        del codec
+        assert reference() is None
+    finally:
+        gc.enable()
