--- a/alderspool/protocol/http_parts.py
+++ b/alderspool/protocol/http_parts.py
@@ -16,10 +16,10 @@
 HEAD_LIMIT_BYTES = 16 * 1024
 # An object is kept for each header field, of which a head of 16 KiB can have 4,096.
 MAX_HEADER_FIELDS = 1024
-# Limit of the chunk framing (sizes and extensions) and trailers of one message. For each byte of the body it
-# grows, so that a body in chunks of one byte, each with a size line and two line ends, is accepted.
+# Limit of the chunk framing (sizes and extensions) and trailers of one message. It grows with each byte of the
+# body, so that a body in chunks of one byte, each with a short extension, is accepted.
 FRAMING_LIMIT_BYTES = 16 * 1024
-FRAMING_BYTES_PER_BODY_BYTE = 8
+FRAMING_BYTES_PER_BODY_BYTE = 16
 Headers = list[tuple[bytes, bytes]]
 
 
