Let the emulator's codec drop a complete request that is over a limit

A request of the laboratory's emulator that is over a limit is dropped at the failure, since the collector frees its headers then; its completion would have been reported with no headers.

--- a/alderspool/lab/emulator/http_server.py
+++ b/alderspool/lab/emulator/http_server.py
@@ -47,7 +47,9 @@
         return completed
 
     def message_done(self) -> None:
-        """Add a request that the parser has completed; called by HttpMessageCollector."""
+        """Add a complete request, unless it is too large; called by HttpMessageCollector."""
+        if self.failure is not None:
+            return
         method = self._parser.get_method().decode()
         target = self.target.decode("latin-1")
         self._completed.append(HttpRequest(method, target, dict(self.headers), self.body))
