--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,100 +1,124 @@
-"""Clients that offer an upgrade to HTTP/2, which HTTP/1.1 allows on any request, send requests with a body.
+"""Bad clients send four requests at once, 16 KB in all, and go; the platform kills a proxy that is over its memory.
 
-Breaks: an endpoint gets a request in a form that no client sent, or a request that no client sent at all.
+Breaks: the proxy goes over its memory limit and is killed.
 """
 
 import asyncio
 import random
+import socket
 import sys
-from dataclasses import dataclass
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "rig2"))
-from rig import HOST, Attempt, Case, Discovery, Endpoint, EndpointConnection, Message, MessageReader
-from rig import encode_request, now, run_case, settings
-
-REQUESTS = 40
-UPGRADE = "Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AAMAAABkAAQAoAAAAAIAAAAA\r\n"
-
-
-@dataclass
-class Sent:
-    """A request as its client sent it."""
-
-    first_line: list[str]
-    body: bytes
-    status: int = 0
-
-
-class RecordingEndpoint(Endpoint):
-    """Keeps every request as it arrived."""
-
-    def __init__(self, name: str, group: int) -> None:
-        super().__init__(name, group=group)
-        self.messages: list[Message] = []
-
-    def on_attempt(self, connection: EndpointConnection, attempt: Attempt) -> None:
-        message = connection.last_message
-        assert message is not None
-        self.messages.append(message)
-        super().on_attempt(connection, attempt)
-
-
-async def send(case: Case, port: int, number: int, sent: dict[str, Sent]) -> None:
-    """Send one request with a body on a connection of its own, and read until its answer is whole."""
-    request_class, deadline_ms, key = ("once", 750, "") if number % 2 else ("batch", 2000, f"key-{number}")
-    request_id = f"r{number:03d}-{random.getrandbits(32):08x}"
-    # The text of every fourth message looks like a request itself.
-    text = f"message {number} to +94 77 000 0{number:03d}".encode()
-    if number % 4 == 1:
-        text = encode_request(f"inner-{request_id}", "once", "POST", 750)
-    data = encode_request(request_id, request_class, "POST", deadline_ms, key, text)
-    if case.has_trouble:
-        data = data.replace(b"Host:", UPGRADE.encode() + b"Host:", 1)
-    sent[request_id] = Sent(data.split(b"\r\n", 1)[0].decode().split(" ", 2), text)
-    case.record.add(f"{request_id} sent, {request_class}, body {text!r}")
-    reader, writer = await asyncio.open_connection(HOST, port)
+from rig import HOST, CannotRun, Case, Client, Discovery, Endpoint, Proxy
+from rig import encode_request, open_loop, run_case, settings
+
+MEMORY_MB = 192
+DESCRIPTORS = 1024
+BAD_CLIENTS = 500  # in each wave
+WAVES = 3
+REQUESTS = 4
+FIELDS = 950  # README allows 1,024 fields and 16 KiB in a head
+MIB = 1024 * 1024
+
+
+def much(number: int) -> bytes:
+    """Return what a bad client sends: GET requests in good form, each with many short header fields."""
+    data = b""
+    for request in range(REQUESTS):
+        request_id = f"b{number}-{request}-{random.getrandbits(32):x}"
+        data += encode_request(request_id, "check", "GET", 1000)[:-2] + b"a:\r\n" * FIELDS + b"\r\n"
+    return data
+
+
+def memory_bytes(proxy: Proxy) -> int:
+    """Return the resident memory of a proxy; 0 if it has ended."""
+    assert proxy.process is not None
     try:
-        writer.write(data)
-        messages = MessageReader()
-        async with asyncio.timeout(deadline_ms / 1000.0 + 0.5):
-            while not sent[request_id].status and (chunk := await reader.read(65536)):
-                for message in messages.feed(chunk)[:1]:
-                    sent[request_id].status = int(message.first_line[1])
-    except (OSError, TimeoutError) as error:
-        case.record.add(f"{request_id} {error!r}")
-    finally:
-        writer.close()
-    case.record.add(f"{request_id} got {sent[request_id].status}")
+        lines = Path(f"/proc/{proxy.process.pid}/status").read_text().splitlines()
+    except OSError:
+        return 0
+    return next((int(line.split()[1]) * 1024 for line in lines if line.startswith("VmRSS")), 0)
+
+
+async def play_wave(port: int, wave: int) -> None:
+    """Connect all bad clients, then let them send all that they have at once, and go."""
+    loop = asyncio.get_running_loop()
+    clients = []
+    for number in range(BAD_CLIENTS):
+        client = socket.socket()
+        client.setblocking(False)
+        clients.append((client, much(wave * BAD_CLIENTS + number)))
+        try:
+            await loop.sock_connect(client, (HOST, port))
+        except OSError:
+            continue
+    await asyncio.sleep(0.3)
+    for client, data in clients:
+        try:
+            client.send(data)
+        except OSError:  # the proxy has closed the connection, or could not accept it
+            continue
+    await asyncio.sleep(1.0)
+    for client, _ in clients:
+        client.close()
 
 
 async def play(case: Case) -> None:
-    endpoints = [RecordingEndpoint(f"s-{number}", group=1 + number % 2) for number in range(3)]
+    endpoints = [Endpoint(f"s-{number}", group=1 + number % 2, service_s=0.05) for number in range(6)]
     for endpoint in endpoints:
         await endpoint.open()
     discovery = Discovery()
     discovery.set(*[endpoint.entry() for endpoint in endpoints])
     await discovery.open()
     proxy = case.proxy("n0")
-    proxy.write_config(discovery.address, discovery.document(), settings())
+    limits = {"memory_mb": MEMORY_MB, "sockets": DESCRIPTORS}
+    proxy.write_config(discovery.address, discovery.document(), settings(), **limits)
     await proxy.start()
-    sent: dict[str, Sent] = {}
-    for number in range(REQUESTS):
-        await send(case, proxy.port, number, sent)
-        await asyncio.sleep(0.05)
-    await asyncio.sleep(1.0)
-    for endpoint in endpoints:
-        for message in endpoint.messages:
-            request_id = message.headers.get("x-request-id", "")
-            case.record.add(f"{request_id} ran at {endpoint.name}, body {message.body!r}", message.last_byte_at)
-            original = sent.get(request_id)
-            if original is None:
-                case.broken(f"{endpoint.name} got {request_id}, which no client sent")
-            elif message.body != original.body or message.first_line != original.first_line:
-                case.broken(f"{request_id} was sent with {original.body!r} and reached {endpoint.name} with {message.body!r}")
-    for request_id, original in sent.items():
-        if not original.status:
-            case.broken(f"{request_id} got no answer")
+    client = Client(proxy.port, "c")
+    generator = random.Random(6)
+    peak = memory_bytes(proxy)
+    case.record.add(f"the proxy takes {peak / MIB:.0f} MiB")
+    is_killed = False
+
+    async def enforce_limit() -> None:
+        nonlocal peak, is_killed
+        while not is_killed:
+            peak = max(peak, memory_bytes(proxy))
+            if peak > MEMORY_MB * MIB:
+                is_killed = True
+                proxy.kill()
+                case.record.add(f"the proxy takes {peak / MIB:.0f} MiB: killed")
+            await asyncio.sleep(0.005)
+
+    async def send() -> None:
+        if is_killed:
+            return
+        if generator.random() < 0.5:
+            await client.send("check", "GET", 1000)
+        else:
+            await client.send("once", "POST", 750)
+
+    platform = asyncio.get_running_loop().create_task(enforce_limit())
+    traffic = asyncio.get_running_loop().create_task(open_loop(40.0, 4.0 + 5.0 * WAVES, send))
+    await asyncio.sleep(2.0)
+    for wave in range(WAVES):
+        if case.has_trouble and not is_killed:
+            case.record.add(f"wave {wave}: {BAD_CLIENTS} bad clients, {len(much(0))} bytes each")
+            await play_wave(proxy.port, wave)
+        await asyncio.sleep(3.5)
+    await traffic
+    platform.cancel()
+    case.record_traffic([client], endpoints)
+    if not is_killed and proxy.process is not None and proxy.process.poll() is not None:
+        raise CannotRun(f"the proxy ended with {proxy.process.poll()}")
+    unanswered = sum(not result.status for result in client.results)
+    if is_killed:
+        case.broken(f"the proxy took {peak / MIB:.0f} MiB of {MEMORY_MB} and was killed")
+    print(
+        f"peak {peak / MIB:.0f} MiB; {unanswered} of {len(client.results)} requests of sound clients without an answer"
+    )
+    case.record.add(f"peak {peak / MIB:.0f} MiB; {unanswered} of {len(client.results)} requests without an answer")
 
 
 run_case(__file__, play)
--- a/review/rig2/rig.py
+++ b/review/rig2/rig.py
@@ -658,9 +658,7 @@
     return base
 
 
-async def open_loop(
-    rate: float, seconds: float, send: Callable[[], Awaitable[Any]], seed: int = 1
-) -> None:
+async def open_loop(rate: float, seconds: float, send: Callable[[], Awaitable[Any]], seed: int = 1) -> None:
     """Call `send` at random moments, `rate` times a second, and wait for the last of them."""
     generator = random.Random(seed)
     tasks = []
