--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,74 +1,85 @@
-"""Lists are pushed. Discovery is down while a proxy is killed and starts again with its last list; an endpoint drains.
+"""Clients send much at once and go; the first of their requests takes its endpoint 0.4 s.
 
-The agent is silent meanwhile: what it is asked then gets no answer. Back again, it answers each call at once.
-Breaks: an attempt at the draining endpoint begins later than the grace allows, counted from the agent's return.
+Breaks: an attempt for a client begins more than 0.1 s after the client has closed its connection.
 """
 
 import asyncio
 import random
+import socket
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "rig2"))
-from rig import CannotRun, Case, Client, Discovery, Endpoint, now, open_loop, run_case, settings
+from rig import HOST, Attempt, Case, Client, Discovery, Endpoint, EndpointConnection, Proxy
+from rig import encode_request, now, open_loop, run_case, settings
 
-DRAIN_GRACE_S = 2.0
-SLACK_S = 0.05  # "every time limit is 50 ms longer"
-LONGEST_OUTAGE_S = 8.0
+LEAVERS = 20
+BODY = b"m" * 60_000  # a body holds 64 KiB at most
+FURTHER_REQUESTS = 3
+LATEST_S = 0.1
+LONG_S = 0.4
+
+
+class MixedEndpoint(Endpoint):
+    """Serves most requests in 25 to 75 ms, and long ones in 0.4 s."""
+
+    def on_attempt(self, connection: EndpointConnection, attempt: Attempt) -> None:
+        if not attempt.request_id.startswith("long"):
+            super().on_attempt(connection, attempt)
+            return
+        asyncio.get_running_loop().call_later(LONG_S, self.serve, connection, attempt)
+
+
+async def send_and_go(case: Case, proxy: Proxy, number: int, closed_at: dict[str, float]) -> None:
+    """Send several requests without waiting for an answer, and close the connection."""
+    loop = asyncio.get_running_loop()
+    ids = [f"long-{number:02d}-{random.getrandbits(32):08x}"]
+    data = encode_request(ids[0], "check", "GET", 1000)
+    for further in range(FURTHER_REQUESTS):
+        ids.append(f"next-{number:02d}-{further}-{random.getrandbits(32):08x}")
+        data += encode_request(ids[-1], "batch", "POST", 2000, f"key-{ids[-1]}", BODY)
+    with socket.socket() as client:
+        client.setblocking(False)
+        await loop.sock_connect(client, (HOST, proxy.port))
+        async with asyncio.timeout(1.0):
+            await loop.sock_sendall(client, data)
+    for request_id in ids:
+        closed_at[request_id] = now()
+        case.record.add(f"{request_id} sent, and its connection closed")
 
 
 async def play(case: Case) -> None:
-    endpoints = [Endpoint(f"s-{number}", group=1 + number % 2) for number in range(4)]
+    endpoints = [MixedEndpoint(f"s-{number}", group=1 + number % 2, service_s=0.05) for number in range(4)]
     for endpoint in endpoints:
         await endpoint.open()
-    agent = Discovery()
-    agent.set(*[endpoint.entry() for endpoint in endpoints])
-    await agent.open()
-    known = agent.document()
+    discovery = Discovery()
+    discovery.set(*[endpoint.entry() for endpoint in endpoints])
+    await discovery.open()
     proxy = case.proxy("n0")
-    limits = settings(discovery="pushed", rules={"drain_grace_ms": 1000.0 * DRAIN_GRACE_S})
-    proxy.write_config(agent.address, known, limits)
+    proxy.write_config(discovery.address, discovery.document(), settings())
     await proxy.start()
     client = Client(proxy.port, "c")
-    generator = random.Random(8)
+    closed_at: dict[str, float] = {}
 
     async def send() -> None:
-        if generator.random() < 0.5:
-            await client.send("check", "GET", 1000)
-        else:
-            await client.send("once", "POST", 750)
+        await client.send("check", "GET", 1000)
 
-    traffic = asyncio.get_running_loop().create_task(open_loop(100.0, 20.0, send))
-    await asyncio.sleep(2.0)
-    down_at = now()
-    if case.has_trouble:
-        case.record.add("discovery is down: the agent falls silent; the proxy is killed and starts again")
-        agent.is_silent = True
-        proxy.kill()
-        await proxy.start()
-        # Discovery returns 0.2 s after the second call of the new process, which asks for the whole list.
-        while sum("since" not in target and result == "silent" for _, target, result in agent.calls) < 2:
-            if now() > down_at + LONGEST_OUTAGE_S:
-                raise CannotRun("no second call in time")
-            await asyncio.sleep(0.005)
-        await asyncio.sleep(0.2)
-    draining = endpoints[0]
-    agent.set(draining.entry("draining"))
-    agent.is_silent = False
-    told_at = now()
-    case.record.add(f"discovery is back after {told_at - down_at:.2f} s; the agent has {draining.name} as draining")
-    if told_at - down_at > LONGEST_OUTAGE_S:
-        raise CannotRun("the outage was longer than the pages name")
+    traffic = asyncio.get_running_loop().create_task(open_loop(40.0, 20.0, send))
+    await asyncio.sleep(4.0)
+    for number in range(LEAVERS):
+        if case.has_trouble:
+            await send_and_go(case, proxy, number, closed_at)
+        else:
+            await client.send("check", "GET", 1000)
+            await client.send("batch", "POST", 2000, f"key-{number}", BODY)
+        await asyncio.sleep(0.6)
     await traffic
     case.record_traffic([client], endpoints)
-    for called_at, target, result in agent.calls:
-        case.record.add(f"agent asked for {target}: {result}", called_at)
-    for attempt in draining.attempts:
-        late_s = attempt.first_byte_at - told_at
-        if late_s > DRAIN_GRACE_S + SLACK_S:
-            case.broken(f"{attempt.request_id} sent to {draining.name} {late_s:.2f} s after the agent had it as draining")
-    last_s = max(attempt.first_byte_at for attempt in draining.attempts) - told_at
-    print(f"last attempt at {draining.name} {last_s:.2f} s after the agent had it as draining")
+    for endpoint in endpoints:
+        for attempt in endpoint.attempts:
+            late_s = attempt.first_byte_at - closed_at.get(attempt.request_id, attempt.first_byte_at)
+            if late_s > LATEST_S:
+                case.broken(f"{attempt.request_id} sent to {endpoint.name} {late_s:.2f} s after its client had gone")
 
 
 run_case(__file__, play)
