--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,85 +1,82 @@
-"""Clients send much at once and go; the first of their requests takes its endpoint 0.4 s.
+"""Discovery takes 1.9 s for a call; five new configurations, 1.8 s apart, move it to and fro; an endpoint drains.
 
-Breaks: an attempt for a client begins more than 0.1 s after the client has closed its connection.
+Both addresses belong to the same service and answer every call. Breaks: an attempt at the draining endpoint begins
+later than 6 s after discovery listed it as draining, plus the grace.
 """
 
 import asyncio
 import random
-import socket
+import signal
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "rig2"))
-from rig import HOST, Attempt, Case, Client, Discovery, Endpoint, EndpointConnection, Proxy
-from rig import encode_request, now, open_loop, run_case, settings
+from rig import Case, Client, Discovery, Endpoint, now, open_loop, run_case, settings
 
-LEAVERS = 20
-BODY = b"m" * 60_000  # a body holds 64 KiB at most
-FURTHER_REQUESTS = 3
-LATEST_S = 0.1
-LONG_S = 0.4
-
-
-class MixedEndpoint(Endpoint):
-    """Serves most requests in 25 to 75 ms, and long ones in 0.4 s."""
-
-    def on_attempt(self, connection: EndpointConnection, attempt: Attempt) -> None:
-        if not attempt.request_id.startswith("long"):
-            super().on_attempt(connection, attempt)
-            return
-        asyncio.get_running_loop().call_later(LONG_S, self.serve, connection, attempt)
-
-
-async def send_and_go(case: Case, proxy: Proxy, number: int, closed_at: dict[str, float]) -> None:
-    """Send several requests without waiting for an answer, and close the connection."""
-    loop = asyncio.get_running_loop()
-    ids = [f"long-{number:02d}-{random.getrandbits(32):08x}"]
-    data = encode_request(ids[0], "check", "GET", 1000)
-    for further in range(FURTHER_REQUESTS):
-        ids.append(f"next-{number:02d}-{further}-{random.getrandbits(32):08x}")
-        data += encode_request(ids[-1], "batch", "POST", 2000, f"key-{ids[-1]}", BODY)
-    with socket.socket() as client:
-        client.setblocking(False)
-        await loop.sock_connect(client, (HOST, proxy.port))
-        async with asyncio.timeout(1.0):
-            await loop.sock_sendall(client, data)
-    for request_id in ids:
-        closed_at[request_id] = now()
-        case.record.add(f"{request_id} sent, and its connection closed")
+CALL_S = 1.9  # below the 2 s after which a call has waited too long
+BETWEEN_S = 1.8
+CONFIGURATIONS = 5
+COUNTS_AS_TOLD_S = 6.0
+DRAIN_GRACE_S = 0.25
+SLACK_S = 0.05  # "every time limit is 50 ms longer"
 
 
 async def play(case: Case) -> None:
-    endpoints = [MixedEndpoint(f"s-{number}", group=1 + number % 2, service_s=0.05) for number in range(4)]
+    endpoints = [Endpoint(f"s-{number}", group=1 + number % 2) for number in range(4)]
     for endpoint in endpoints:
         await endpoint.open()
-    discovery = Discovery()
-    discovery.set(*[endpoint.entry() for endpoint in endpoints])
-    await discovery.open()
+    services = [Discovery(), Discovery()]
+    for service in services:
+        service.set(*[endpoint.entry() for endpoint in endpoints])
+        await service.open()
+
     proxy = case.proxy("n0")
-    proxy.write_config(discovery.address, discovery.document(), settings())
+    proxy.write_config(services[0].address, services[0].document(), settings())
     await proxy.start()
     client = Client(proxy.port, "c")
-    closed_at: dict[str, float] = {}
+    generator = random.Random(9)
 
     async def send() -> None:
-        await client.send("check", "GET", 1000)
+        if generator.random() < 0.5:
+            await client.send("check", "GET", 1000)
+        else:
+            await client.send("once", "POST", 750)
+
+    traffic = asyncio.get_running_loop().create_task(open_loop(100.0, 18.0, send))
+    await asyncio.sleep(3.0)
+    draining = endpoints[0]
+
+    def configure(number: int) -> None:
+        address = services[(number + 1) % 2].address
+        proxy.write_config(address, services[0].document(), settings())
+        proxy.signal(signal.SIGHUP)
+        case.record.add(f"new configuration: discovery at {address}")
 
-    traffic = asyncio.get_running_loop().create_task(open_loop(40.0, 20.0, send))
-    await asyncio.sleep(4.0)
-    for number in range(LEAVERS):
+    if case.has_trouble:
+        for service in services:
+            service.call_s = CALL_S
+        configure(0)
+    configured_at = now()
+    await asyncio.sleep(0.3)
+    listed_at = now()
+    for service in services:
+        service.set(draining.entry("draining"))
+    case.record.add(f"{draining.name} listed as draining")
+    for number in range(1, CONFIGURATIONS):
+        await asyncio.sleep(configured_at + number * BETWEEN_S - now())
         if case.has_trouble:
-            await send_and_go(case, proxy, number, closed_at)
-        else:
-            await client.send("check", "GET", 1000)
-            await client.send("batch", "POST", 2000, f"key-{number}", BODY)
-        await asyncio.sleep(0.6)
+            configure(number)
     await traffic
     case.record_traffic([client], endpoints)
-    for endpoint in endpoints:
-        for attempt in endpoint.attempts:
-            late_s = attempt.first_byte_at - closed_at.get(attempt.request_id, attempt.first_byte_at)
-            if late_s > LATEST_S:
-                case.broken(f"{attempt.request_id} sent to {endpoint.name} {late_s:.2f} s after its client had gone")
+    for service in services:
+        for called_at, target, result in service.calls:
+            case.record.add(f"discovery at {service.address} asked for {target}: {result}", called_at)
+    for attempt in draining.attempts:
+        late_s = attempt.first_byte_at - listed_at
+        if late_s > COUNTS_AS_TOLD_S + DRAIN_GRACE_S + SLACK_S:
+            case.broken(f"{attempt.request_id} sent to {draining.name} {late_s:.2f} s after it was listed as draining")
+    last_s = max(attempt.first_byte_at for attempt in draining.attempts) - listed_at
+    print(f"last attempt at {draining.name} {last_s:.2f} s after it was listed as draining")
 
 
 run_case(__file__, play)
