--- a/review/rig2/rig.py
+++ b/review/rig2/rig.py
@@ -570,6 +570,8 @@
     record = Record(here / "record.txt")
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     status = COULD_NOT_RUN
+    # A script that is told to end still ends its proxies.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     with tempfile.TemporaryDirectory(prefix="review-") as folder:
         case = Case(record, Path(folder), has_trouble)
 
