--- a/review/rig2/rig.py
+++ b/review/rig2/rig.py
@@ -14,6 +14,7 @@
 import random
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -165,7 +166,7 @@
         for connection in list(self.connections):
             with contextlib.suppress(OSError, ValueError):
                 connection.transport.get_extra_info("socket").setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0"
+                    socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
                 )
             connection.transport.abort()
 
