Bound the memory that all client connections hold together

Cause: limits held for one message; a connection with a pending request parsed up to 16 KiB more and kept every request that this completed; nothing bounded what all connections hold together. A 4-byte field takes 80 bytes and more parsed. Change: a memory budget, a quarter of limits.memory_mb, counts what each client connection holds. Over it the largest incomplete requests get 503, then complete ones on connections over their guaranteed part. Input behind a pending request stays unparsed until the response. A memory_mb that is not positive is a configuration error.

--- a/alderspool/program/app.py
+++ b/alderspool/program/app.py
@@ -60,7 +60,12 @@
         },
         startup_signals,
     )
-    listener = Listener(exchange, RequestReader(config.settings), budget.allot(DOWNSTREAM_SHARE))
+    listener = Listener(
+        exchange,
+        RequestReader(config.settings),
+        budget.allot(DOWNSTREAM_SHARE),
+        config.limits.memory_mb,
+    )
     _bind(listener, config)
     exchange.start(pool, discovery, config.known)
     if not config.settings.list_on_request and not await discovery.wait_for_list(INITIAL_LIST_TIMEOUT_S):
--- a/alderspool/program/config.py
+++ b/alderspool/program/config.py
@@ -49,7 +49,10 @@
 
 
 class LimitsDoc(msgspec.Struct, frozen=True):
-    """Resource limits of the process; only `sockets` is enforced by the program."""
+    """Resource limits of the process; `cores` is not enforced by the program.
+
+    The unit of `memory_mb` is 1,000,000 bytes.
+    """
 
     cores: float = 1.0
     memory_mb: float = 192.0
@@ -157,6 +160,8 @@
 def _check_limits(limits: LimitsDoc) -> LimitsDoc:
     if limits.sockets < MIN_SOCKETS:
         raise ConfigError("limits.sockets", f"below the minimum of {MIN_SOCKETS}: {limits.sockets}")
+    if not limits.memory_mb > 0.0:
+        raise ConfigError("limits.memory_mb", f"not positive: {limits.memory_mb}")
     return limits
 
 
--- a/alderspool/protocol/client_messages.py
+++ b/alderspool/protocol/client_messages.py
@@ -31,6 +31,7 @@
     body: bytes
     keep_alive: bool = True  # the client keeps the connection open for further requests
     received_at_s: float = 0.0  # arrival of the last byte
+    memory_bytes: int = 0  # estimate of the memory that the request takes
 
 
 @dataclass(slots=True)
--- a/alderspool/protocol/http_parts.py
+++ b/alderspool/protocol/http_parts.py
@@ -20,6 +20,8 @@
 # body, so that a body in chunks of one byte, each with a short extension, is accepted.
 FRAMING_LIMIT_BYTES = 16 * 1024
 FRAMING_BYTES_PER_BODY_BYTE = 16
+# Memory of a header field beside its bytes: a tuple, a place in the list and two bytes objects.
+FIELD_OVERHEAD_BYTES = 160
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -57,7 +59,7 @@
 
     `failure` is set when a limit is exceeded, or by a subclass. The incomplete message is dropped then, and
     body data is discarded, so that an endless body cannot exhaust the memory. `headers`, `target` and `body`
-    belong to the current message; between messages `headers` and `target` are those of the last one.
+    belong to the current message; between messages nothing of the last one is kept.
 
     Subclasses set `_parser`, which calls the `on_` methods, and override `head_done` and `message_done`.
     """
@@ -74,6 +76,7 @@
         self._body = bytearray()  # not a list of parts: an object for each small chunk would take far more
         self._body_limit_bytes = body_limit_bytes
         self._body_size_bytes = 0
+        self._head_size_bytes = 0  # of the target and the header fields, once the head is complete
         self._message_bytes = 0  # bytes received for the incomplete message, of all its parts
 
     def feed(self, data: bytes) -> None:
@@ -114,6 +117,12 @@
         self.drop_message()
         del self._parser
 
+    @property
+    def message_memory_bytes(self) -> int:
+        """Estimate of the memory that the message being received takes."""
+        head_size_bytes = self._head_size_bytes if self.head_complete else self._message_bytes
+        return head_size_bytes + len(self.headers) * FIELD_OVERHEAD_BYTES + len(self._body)
+
     # ---- called by httptools -----------------------------------------------------------------------
 
     def on_message_begin(self) -> None:
@@ -143,8 +152,9 @@
     def on_headers_complete(self) -> None:
         """Check the size of the head and the Content-Length, before any of the body is received."""
         self.head_complete = True
-        head_size_bytes = sum(len(name) + len(value) for name, value in self.headers) + len(self.target)
-        if head_size_bytes > HEAD_LIMIT_BYTES:
+        fields_size_bytes = sum(len(name) + len(value) for name, value in self.headers)
+        self._head_size_bytes = fields_size_bytes + len(self.target)
+        if self._head_size_bytes > HEAD_LIMIT_BYTES:
             self.fail(HEAD_TOO_LARGE)
         for name, value in self.headers:
             if name == b"content-length" and int(value) > self._body_limit_bytes:
@@ -163,6 +173,7 @@
     def on_message_complete(self) -> None:
         """Finish the message."""
         self.message_done()
+        self.headers = []
         if self._body_size_bytes:
             self._body = bytearray()  # `clear` would leave a byte behind, which keeps the heap fragmented
         self._message_bytes = 0  # the rest of the piece, which belongs to the next message, is not counted
--- a/alderspool/protocol/http_server.py
+++ b/alderspool/protocol/http_server.py
@@ -16,6 +16,9 @@
 from alderspool.protocol.upstream import BODY_LIMIT_BYTES
 from alderspool.routing.messages import Rejected
 
+REQUEST_OVERHEAD_BYTES = 512  # memory of a complete request beside its header fields and its body
+REQUEST_TIMEOUT = CodecFailure(408, "request not whole in time")
+OUT_OF_MEMORY = CodecFailure(503, "refused; trying again is harmless")
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Every status that the proxy sends to clients.
 REASON_PHRASES = {
@@ -74,6 +77,7 @@
         super().__init__(BODY_LIMIT_BYTES)
         self._parser = httptools.HttpRequestParser(self)
         self._complete_requests: deque[RawRequest] = deque()  # not yet returned by `next`
+        self._complete_memory_bytes = 0  # memory of the complete requests and of the one in progress
         self._request_in_progress: RawRequest | None = None  # returned by `next`, no response yet
         self._is_http_1_1 = False  # of the request that is being received
         self._expects_continue = False
@@ -119,8 +123,10 @@
                 self.body,
                 keep_alive,
                 self._received_at_s,
+                self.message_memory_bytes + REQUEST_OVERHEAD_BYTES,
             )
             self._complete_requests.append(request)
+            self._complete_memory_bytes += request.memory_bytes
         self._expects_continue = False
 
     def next(self) -> RawRequest | InvalidRequest | CodecStatus:
@@ -161,7 +167,12 @@
         """Whether all or part of a request after the one in progress has been received."""
         return bool(self.message_started or self._complete_requests)
 
-    def time_out(self) -> InvalidRequest | None:
+    @property
+    def memory_bytes(self) -> int:
+        """Estimate of the memory that the requests of this connection take, the one in progress included."""
+        return self._complete_memory_bytes + self.message_memory_bytes
+
+    def abandon_message(self, failure: CodecFailure) -> InvalidRequest | None:
         """Stop waiting for the rest of a request; return the error to send to the client.
 
         Returns None if a request is in progress or an error has already been returned.
@@ -169,9 +180,9 @@
         if self._request_in_progress is not None or self._failure_returned:
             return None
         self.drop_message()
-        self.failure = CodecFailure(408, "request not whole in time")
+        self.failure = failure
         self._failure_returned = True
-        return InvalidRequest(*self.failure)
+        return InvalidRequest(*failure)
 
     def compose_continue(self) -> bytes:
         """Return the interim response to `Expect: 100-continue`."""
@@ -186,6 +197,8 @@
         """
         request = self._request_in_progress
         self._request_in_progress = None
+        if request is not None:
+            self._complete_memory_bytes -= request.memory_bytes
         close = close or self.failure is not None or request is None or not request.keep_alive
         parts = [STATUS_LINES.get(status) or status_line(status)]
         for name, value in headers:
--- a/alderspool/transport/client_connection.py
+++ b/alderspool/transport/client_connection.py
@@ -8,10 +8,11 @@
 
 import asyncio
 import contextlib
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from alderspool.protocol.client_messages import ClientResponse, as_client_response, invalid_request_as_http
-from alderspool.protocol.http_server import HttpServerCodec
+from alderspool.protocol.http_parts import CodecFailure
+from alderspool.protocol.http_server import OUT_OF_MEMORY, REQUEST_TIMEOUT, HttpServerCodec
 from alderspool.routing.messages import FinalResponse
 from alderspool.transport import lingering_close
 from alderspool.transport.connection_state import (
@@ -30,6 +31,7 @@
 )
 from alderspool.transport.eviction import EvictionClass
 from alderspool.transport.lingering_close import LingeringCloseStep
+from alderspool.transport.memory_budget import MemoryBudget
 from alderspool.transport.streams import CountingReader, is_open_without_input, peer_has_closed
 
 # Keyed by the state and whether a response has been sent. A connection in a state without an entry must not
@@ -44,6 +46,13 @@
 }
 
 
+class ReceivedData(NamedTuple):
+    """A piece of input, and when it arrived on the clock of the event loop."""
+
+    data: bytes
+    received_at_s: float
+
+
 class ConnectionOwner(Protocol):
     """The part of `ConnectionTable` that a connection uses."""
 
@@ -55,6 +64,10 @@
     def loop(self) -> asyncio.AbstractEventLoop:
         """The event loop; its clock is used for connection timeouts."""
 
+    @property
+    def memory(self) -> MemoryBudget:
+        """The budget in which the connection's memory is counted."""
+
     def update_eviction(self, connection: ClientConnection) -> None:
         """Update the connection's place in the eviction order after a state change."""
 
@@ -76,6 +89,9 @@
         self.writer = writer
         self.codec = HttpServerCodec()
         self.state = IDLE
+        # Input that was read while a request was pending, to be parsed after the response.
+        self.unparsed: ReceivedData | None = None
+        self.memory_bytes = 0  # as counted in the owner's memory budget
         self.request_id = 0  # the exchange's id of the pending request; 0: none
         self.has_submitted = False  # a request has been submitted: counted as a keep-alive connection
         self.has_responded = False  # at least one response has been sent
@@ -130,8 +146,8 @@
         return peer_has_closed(self.writer)
 
     def is_open_without_input(self) -> bool:
-        """Return whether the connection is open and has no unread input."""
-        return is_open_without_input(self.reader, self.writer)
+        """Return whether the connection is open and has no unread or unparsed input."""
+        return self.unparsed is None and is_open_without_input(self.reader, self.writer)
 
     # ---- requests and responses ------------------------------------------------------------------
 
@@ -139,11 +155,12 @@
         """Measure timeouts from now."""
         self.timeout_started_s = self._owner.loop.time()
 
-    def receive(self, data: bytes, received_at_s: float) -> None:
-        """Process received bytes; for the time see `HttpServerCodec.receive`."""
-        self.codec.receive(data, received_at_s)
+    def receive(self, received: ReceivedData) -> None:
+        """Parse received bytes."""
+        self.codec.receive(received.data, received.received_at_s)
         if self.state is IDLE and not self.codec.is_idle:
             self.apply_event(REQUEST_STARTED)
+        self.update_memory()
         self._owner.update_eviction(self)
 
     def begin_request(self) -> None:
@@ -172,6 +189,7 @@
         encoded = self.codec.compose(response.status, response.body, response.headers, close)
         self.apply_event(RESPONDED if self.codec.is_idle else RESPONDED_WITH_INPUT_LEFT)
         self.writer.write(encoded.data)
+        self.update_memory()
         if encoded.closes_connection:
             self.begin_lingering_close()
         self._owner.update_eviction(self)
@@ -231,11 +249,44 @@
         if not self._timeout_deferred and self.awaits_request and not self.is_open_without_input():
             self._timeout_deferred = True
             return False
-        invalid = self.codec.time_out() if self.awaits_request else None
+        self._abandon_request(REQUEST_TIMEOUT)
+        return True
+
+    def _abandon_request(self, failure: CodecFailure) -> None:
+        invalid = self.codec.abandon_message(failure) if self.awaits_request else None
         if invalid is not None:
             self.send(invalid_request_as_http(invalid), is_last=True)
         self.begin_lingering_close()
-        return True
+
+    # ---- memory ------------------------------------------------------------------------------------
+
+    def update_memory(self) -> None:
+        """Count what the connection holds now in the memory budget."""
+        unparsed_bytes = len(self.unparsed.data) if self.unparsed is not None else 0
+        unsent_bytes = self.writer.transport.get_write_buffer_size()
+        held_bytes = self.reader.unread + unparsed_bytes + self.codec.memory_bytes + unsent_bytes
+        self._owner.memory.change(held_bytes - self.memory_bytes)
+        self.memory_bytes = held_bytes
+
+    def release_memory(self) -> None:
+        """Stop counting the connection in the memory budget."""
+        self._owner.memory.change(-self.memory_bytes)
+        self.memory_bytes = 0
+
+    @property
+    def exceeds_guaranteed_memory(self) -> bool:
+        """Whether the connection holds more memory than every connection may always hold."""
+        return self.memory_bytes > self._owner.memory.guaranteed_bytes
+
+    @property
+    def can_shed_memory(self) -> bool:
+        """Whether the connection holds an incomplete request, which can be rejected."""
+        return self.awaits_request and not self.codec.has_complete_request and not self.is_closing
+
+    def shed_memory(self) -> None:
+        """Reject an incomplete request, and free its memory. The client may safely send it again."""
+        self._abandon_request(OUT_OF_MEMORY)
+        self.update_memory()
 
     def abort(self) -> None:
         """Close the socket at once, and discard unsent data."""
--- a/alderspool/transport/connection_table.py
+++ b/alderspool/transport/connection_table.py
@@ -11,6 +11,7 @@
 from alderspool.transport.client_connection import ClientConnection
 from alderspool.transport.connection_state import LINGERING_CLOSE
 from alderspool.transport.eviction import EvictionOrder
+from alderspool.transport.memory_budget import MemoryBudget
 
 # A client that has not sent a complete request after this time is sent a 408, or its connection is closed if
 # it has sent nothing. Receiving more of the request does not extend the time. Measured from the accept, the
@@ -26,11 +27,15 @@
     """Owns the open client connections.
 
     `max_keep_alive_connections`: while more connections than this have submitted a request, a connection is
-    closed after its response; see `exceeds_keep_alive_limit`.
+    closed after its response; see `exceeds_keep_alive_limit`. `memory`: the budget for what the connections
+    hold together.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, max_keep_alive_connections: int) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, max_keep_alive_connections: int, memory: MemoryBudget
+    ) -> None:
         self.loop = loop
+        self.memory = memory
         self.is_draining = False
         self._connections: dict[ClientConnection, None] = {}  # oldest first
         self._eviction_order: EvictionOrder[ClientConnection] = EvictionOrder()
@@ -51,6 +56,7 @@
     def remove(self, connection: ClientConnection) -> None:
         """Remove a connection whose socket is closed."""
         self._connections.pop(connection, None)
+        connection.release_memory()
 
     # ---- keeping connections open after a response -------------------------------------------------
 
@@ -116,6 +122,23 @@
                 return connection
         return None
 
+    # ---- memory --------------------------------------------------------------------------------------
+
+    def shed_memory(self) -> bool:
+        """Reject incomplete requests, the largest first, until the memory budget is met.
+
+        Connections within their guaranteed part are spared. Returns whether any request was rejected.
+        """
+        has_shed = False
+        while self.memory.is_exceeded:
+            candidates = [connection for connection in self._connections if connection.can_shed_memory]
+            largest = max(candidates, key=lambda connection: connection.memory_bytes, default=None)
+            if largest is None or not largest.exceeds_guaranteed_memory:
+                break
+            largest.shed_memory()
+            has_shed = True
+        return has_shed
+
     # ---- timeouts ------------------------------------------------------------------------------------
 
     def check_timeouts(self) -> None:
@@ -123,6 +146,7 @@
         self.loop.call_later(TIMEOUT_CHECK_INTERVAL_S, self.check_timeouts)
         now_s = self.loop.time()
         for connection in list(self._connections):
+            connection.update_memory()
             if connection.is_ending:
                 connection.check_lingering_close(now_s)
             elif connection.awaits_request and connection.timeout_started_s < now_s - IDLE_TIMEOUT_S:
--- a/alderspool/transport/listener.py
+++ b/alderspool/transport/listener.py
@@ -19,6 +19,7 @@
 from alderspool.transport.connection_table import ConnectionTable
 from alderspool.transport.descriptor_budget import DescriptorBudget
 from alderspool.transport.limited_log import FirstWarningLog
+from alderspool.transport.memory_budget import MemoryBudget
 from alderspool.transport.request_loop import RequestLoop
 from alderspool.transport.streams import CountingReader, limit_read_size
 
@@ -40,11 +41,14 @@
         exchange: Exchange,
         request_reader: RequestReader,
         budget: DescriptorBudget,
+        memory_mb: float,
     ) -> None:
+        """Create a listener; `memory_mb` is the memory limit of the process, in units of 1,000,000 bytes."""
         loop = asyncio.get_running_loop()
         log = FirstWarningLog()
         self._socket: socket.socket
-        self._table = ConnectionTable(loop, budget.fraction_of_limit(KEEP_ALIVE_SHARE))
+        memory = MemoryBudget.of(memory_mb, max_connections=budget.fraction_of_limit(1.0))
+        self._table = ConnectionTable(loop, budget.fraction_of_limit(KEEP_ALIVE_SHARE), memory)
         self._request_loop = RequestLoop(exchange, request_reader, self._table, budget, log)
         self._rejector = ConnectionRejector(loop)
         self._acceptor = Acceptor(budget, self._rejector, self._on_connection, log)
--- a/alderspool/transport/request_loop.py
+++ b/alderspool/transport/request_loop.py
@@ -13,15 +13,17 @@
     InvalidRequest,
     RawRequest,
     ReadinessQuery,
+    as_client_response,
     invalid_request_as_http,
     readiness_as_http,
 )
 from alderspool.protocol.http_server import CONTINUE, ENDED, NEED_DATA, PAUSED
 from alderspool.protocol.request_reader import RequestReader
 from alderspool.routing.exchange import Exchange
+from alderspool.routing.messages import Rejected
 from alderspool.transport.arrival import last_data_age_ms
-from alderspool.transport.client_connection import ClientConnection
-from alderspool.transport.connection_state import IDLE, LINGERING_CLOSE, REQUEST_PENDING, ConnectionEvent
+from alderspool.transport.client_connection import ClientConnection, ReceivedData
+from alderspool.transport.connection_state import LINGERING_CLOSE, REQUEST_PENDING, ConnectionEvent
 from alderspool.transport.connection_table import ConnectionTable
 from alderspool.transport.descriptor_budget import DescriptorBudget
 from alderspool.transport.limited_log import FirstWarningLog
@@ -29,6 +31,9 @@
 
 # How often to check for a client disconnect while the connection is not being read.
 DISCONNECT_CHECK_INTERVAL_S = 0.05
+# Bytes that are parsed at a time. A few of them can complete many requests, which are then held until their
+# turn comes.
+PARSE_SIZE = 4 * 1024
 
 
 class RequestLoop:
@@ -86,13 +91,17 @@
     async def _process_input(self, connection: ClientConnection) -> None:
         """Read and process input until the connection ends."""
         while True:
-            step = NEED_DATA if connection.state is LINGERING_CLOSE else connection.codec.next()
-            if step is NEED_DATA:
-                was_idle = connection.state is IDLE
+            if connection.state is LINGERING_CLOSE:
                 data = await connection.reader.read(READ_SIZE)
-                if not data or not self._receive(connection, data, was_idle):
+                if not data or not connection.discard(len(data)):
+                    return
+                continue
+            step = connection.codec.next()
+            if step is NEED_DATA:
+                if not await self._read(connection):
                     return
             elif step is PAUSED:
+                connection.apply_event(ConnectionEvent.NEXT_REQUEST_COMPLETE)
                 if not await self._wait_for_response(connection):
                     return
             elif step is CONTINUE:
@@ -100,23 +109,40 @@
             elif step is ENDED:
                 return
             else:
-                invalid = step if isinstance(step, InvalidRequest) else self._handle_request(connection, step)
-                if invalid is None:
-                    # Apply backpressure: responses that the client does not read must not fill the memory.
-                    await connection.writer.drain()
-                else:
-                    # Close the connection, so that a client must reconnect before it can repeat the request.
-                    connection.send(invalid_request_as_http(invalid), is_last=True)
-
-    def _receive(self, connection: ClientConnection, data: bytes, was_idle: bool) -> bool:
-        """Pass received bytes to the connection; return whether to continue reading.
-
-        `was_idle`: whether the connection was idle when the read began.
+                self._handle(connection, step)
+                # Apply backpressure: responses that the client does not read must not fill the memory.
+                await connection.writer.drain()
+
+    async def _read(self, connection: ClientConnection) -> bool:
+        """Read and parse a piece of input; return False at its end.
+
+        Reading goes on while a request is pending, as that detects a client disconnect at once. What is read
+        then is parsed only after the response, when it can be processed: parsed requests take much more
+        memory.
         """
+        was_idle = connection.is_idle
+        data = await connection.reader.read(PARSE_SIZE)
+        if not data:
+            return False
         if connection.state is LINGERING_CLOSE:  # the lingering close may have begun during the read
             return connection.discard(len(data))
         if was_idle and connection.has_responded:
             connection.restart_timeout()
+        received = ReceivedData(data, self._arrival_time_s(connection))
+        if connection.has_pending_request:
+            connection.unparsed = received
+            if not await self._wait_for_response(connection):
+                return False
+            connection.unparsed = None
+            if connection.state is LINGERING_CLOSE:
+                return connection.discard(len(data))
+        connection.receive(received)
+        if self._table.memory.is_exceeded and self._table.shed_memory():
+            self._log.warn("memory budget exceeded: large incomplete requests are rejected")
+        return True
+
+    def _arrival_time_s(self, connection: ClientConnection) -> float:
+        """Return when the bytes just read arrived, on the clock of the event loop."""
         now_s = self._table.loop.time()
         data_age_ms = None
         if self._has_tcp_info:
@@ -125,12 +151,10 @@
             data_age_ms = 0.0
         # The age is that of the newest bytes in the kernel, which may still be unread. The bytes just read
         # arrived no later than those.
-        connection.receive(data, now_s - data_age_ms / 1000.0)
-        return True
+        return now_s - data_age_ms / 1000.0
 
     async def _wait_for_response(self, connection: ClientConnection) -> bool:
         """Wait until the pending request has been answered; return False if the client disconnects first."""
-        connection.apply_event(ConnectionEvent.NEXT_REQUEST_COMPLETE)
         connection.response_sent.clear()
         while not connection.response_sent.is_set():
             try:
@@ -141,8 +165,22 @@
                     return False
         return True
 
+    def _handle(self, connection: ClientConnection, message: RawRequest | InvalidRequest) -> None:
+        """Process a complete request, or reject invalid input and close the connection.
+
+        After invalid input the client must reconnect before it can repeat the request.
+        """
+        invalid = (
+            message if isinstance(message, InvalidRequest) else self._handle_request(connection, message)
+        )
+        if invalid is not None:
+            connection.send(invalid_request_as_http(invalid), is_last=True)
+
     def _handle_request(self, connection: ClientConnection, raw: RawRequest) -> InvalidRequest | None:
         """Submit a request, or answer a readiness query; return the error if the request is invalid."""
+        if self._table.memory.is_exceeded and connection.exceeds_guaranteed_memory:
+            connection.send(as_client_response(Rejected()))
+            return None
         request = self._request_reader.read(raw)
         if isinstance(request, InvalidRequest):
             return request
--- a/benchmarks/accept_rate.py
+++ b/benchmarks/accept_rate.py
@@ -27,6 +27,7 @@
 from alderspool.transport.listener import Listener
 
 CONNECTION_LIMITS = (70, 280, 600, 2400)
+MEMORY_MB = 192.0
 REQUEST = b"GET /ready HTTP/1.1\r\nHost: benchmark\r\n\r\n"
 RESPONSE_BYTES = 1024
 STOP = "stop"
@@ -43,7 +44,7 @@
 async def _serve(connection_limit: int, pipe: Connection) -> None:
     settings = Settings(classes=[RequestClass("look", latency_objective_ms=400.0, deadline_ms=1000.0)])
     exchange = cast(Exchange, SimpleNamespace(can_serve=False))
-    listener = Listener(exchange, RequestReader(settings), DescriptorBudget(connection_limit))
+    listener = Listener(exchange, RequestReader(settings), DescriptorBudget(connection_limit), MEMORY_MB)
     listener.bind("127.0.0.1", 0)
     listener.start_accepting()
     pipe.send(("127.0.0.1", listener.port))
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -37,6 +37,7 @@
     "weights": "nominal",
     "zones": ["a", "b"],
 }
+LIMITS = {"cores": 1.0, "memory_mb": 192, "sockets": 256}
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
 # 503 as by an overloaded endpoint; the second states that the request was not executed.
 BARE_503 = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
@@ -132,14 +133,19 @@
 class Rig:
     """Discovery, endpoints and one proxy, started and stopped together as an async context manager.
 
-    `settings` replace whole sections of SETTINGS. Without `await_ready`, entering the context does not wait
-    until the proxy responds.
+    `settings` replace whole sections of SETTINGS, `limits` those of LIMITS. Without `await_ready`, entering
+    the context does not wait until the proxy responds.
     """
 
     def __init__(
-        self, *endpoints: ScriptedServer, settings: dict | None = None, await_ready: bool = True
+        self,
+        *endpoints: ScriptedServer,
+        settings: dict | None = None,
+        limits: dict | None = None,
+        await_ready: bool = True,
     ) -> None:
         self.endpoints = endpoints
+        self.limits = LIMITS | (limits or {})
         self.settings = SETTINGS | (settings or {})
         self.await_ready = await_ready
         self.discovery = ScriptedServer("discovery", lambda server: self._respond_to_call())
@@ -192,7 +198,7 @@
             "listen": f"127.0.0.1:{self.port}",
             "discovery": f"127.0.0.1:{self.discovery.port}",
             "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+            "limits": self.limits,
             "known": {
                 "index": 1,
                 "snapshot": True,
@@ -220,6 +226,13 @@
             assert self.proxy.returncode is None
             await asyncio.sleep(0.02)
 
+    @property
+    def peak_memory_bytes(self) -> int:
+        """The largest resident memory that the proxy has had."""
+        status = Path(f"/proc/{self.proxy.pid}/status").read_text()
+        peak_kib = next(line.split()[1] for line in status.splitlines() if line.startswith("VmHWM"))
+        return int(peak_kib) * 1024
+
     async def wait_until_started(self) -> None:
         """Wait until the shell has executed the program, which then begins to load modules and settings."""
         while b"alderspool\0serve" not in Path(f"/proc/{self.proxy.pid}/cmdline").read_bytes():
--- a/tests/test_accept_queue.py
+++ b/tests/test_accept_queue.py
@@ -33,6 +33,7 @@
 REQUEST = request("look", 3_600_000)
 READY = b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"
 CLOCK_TICK_MS = 10.0  # resolution of the kernel's times: a tick of up to 10 ms
+MEMORY_MB = 192.0
 
 
 # ---- eviction ----------------------------------------------------------------------------------------------
@@ -64,7 +65,7 @@
         settings = Settings(classes=[RequestClass("look", latency_objective_ms=400.0, deadline_ms=1000.0)])
         self.submitted: list[ClientRequest] = []
         exchange = SimpleNamespace(can_serve=False, is_pending=lambda _: False, submit=self._submit)
-        self.listener = Listener(exchange, RequestReader(settings), DescriptorBudget(limit))
+        self.listener = Listener(exchange, RequestReader(settings), DescriptorBudget(limit), MEMORY_MB)
         self.listener.bind("127.0.0.1", 0)
         self.listener.start_accepting()
         self.port = self.listener.port
--- a/tests/test_codec_memory.py
+++ b/tests/test_codec_memory.py
@@ -14,6 +14,7 @@
 
 from alderspool.protocol.downstream import HttpServerCodec
 from alderspool.protocol.http_client import HttpClientCodec
+from alderspool.protocol.http_server import REQUEST_TIMEOUT
 from alderspool.protocol.upstream import BODY_LIMIT_BYTES, upstream_codec
 from alderspool.transport.streams import READ_SIZE
 
@@ -86,7 +87,7 @@
             codec.receive(b"b" * READ_SIZE)
     resident = resident_bytes()
     for codec in codecs:
-        codec.time_out()
+        codec.abandon_message(REQUEST_TIMEOUT)
     return resident
 
 
--- a/tests/test_random_histories.py
+++ b/tests/test_random_histories.py
@@ -34,6 +34,7 @@
 ENDPOINT_COUNT = 3
 MAX_OUTSTANDING_PER_CLIENT = 2
 SETTLE_ITERATIONS = 6  # of the event loop
+MEMORY_MB = 192.0
 DRAIN_POLL_INTERVAL_S = 0.001
 OUTCOMES = (
     AttemptStatus.OK,
@@ -112,7 +113,7 @@
         settings = read_settings(flatten(SETTINGS | {"bounds": bounds}))
         self.upstream = ScriptedUpstream()
         self.exchange = Exchange(settings, seed, Clock())
-        self.listener = Listener(self.exchange, RequestReader(settings), DescriptorBudget(1024))
+        self.listener = Listener(self.exchange, RequestReader(settings), DescriptorBudget(1024), MEMORY_MB)
         self.exchange.start(
             self.upstream, self.upstream, endpoint_list([Availability.READY] * ENDPOINT_COUNT)
         )
