Keep the oldest request for the complete list when discovery's address changes

Cause: each new configuration cancelled the request for the complete list that was in progress, so no list arrived while configurations came faster than discovery responded. DiscoveryClient.fetch did the same. Change: the oldest such request goes on; its response is accepted until a later call has had one. fetch does nothing while the complete list is being requested. At most two calls are in progress.

--- a/alderspool/transport/discovery.py
+++ b/alderspool/transport/discovery.py
@@ -79,6 +79,9 @@
         self._revision = revision
         self._has_list = asyncio.Event()
         self._watch_task: asyncio.Task[None] | None = None
+        # A former watch task, which ends with the call that it was making when the address changed.
+        self._superseded_task: asyncio.Task[None] | None = None
+        self._is_calling = False  # the watch task waits for the response to a call
 
     async def wait_for_list(self, timeout_s: float) -> bool:
         """Wait for the first list; return whether one was received within the timeout."""
@@ -97,38 +100,74 @@
             self._watch_task = asyncio.get_running_loop().create_task(self._run_watch(self._address))
 
     def fetch(self) -> None:
-        """Request the complete list now, then watch for changes since its revision."""
-        self._transition(WatchEvent.FULL_LIST_REQUESTED)
-        self._stop()
-        self.watch(True)
+        """Request the complete list now, then watch for changes since its revision.
+
+        No effect while the complete list is already being requested.
+        """
+        if not self._is_requesting_full_list:
+            self._transition(WatchEvent.FULL_LIST_REQUESTED)
+            self._stop()
+            self.watch(True)
 
     def switch_address(self, address: Address) -> None:
         """Switch to the discovery service at another address; no effect if it is the current one.
 
         Revisions of the new service may be unrelated to those of the old one, so its complete list is
-        requested before any changes. Responses of the old service are no longer accepted.
+        requested before any changes. A watch of the old service is given up.
+
+        A request for the complete list is not: if addresses change faster than discovery responds, no list
+        would ever arrive. Its response is accepted until a later call has had one. Of several such requests
+        the oldest is kept, as it is the next to be answered.
         """
-        if address != self._address:
-            self._address = address
-            self.fetch()
+        if address == self._address:
+            return
+        self._address = address
+        if self._is_requesting_full_list and self._superseded_task is None:
+            self._superseded_task = self._watch_task
+            self._watch_task = None
+        self._transition(WatchEvent.FULL_LIST_REQUESTED)
+        self._cancel_watch_task()
+        self.watch(True)
+
+    @property
+    def _is_requesting_full_list(self) -> bool:
+        return (
+            self._watch_task is not None and self._is_calling and self._state is WatchState.FULL_LIST_NEEDED
+        )
 
     def _stop(self) -> None:
+        self._cancel_watch_task()
+        self._cancel_superseded_task()
+
+    def _cancel_watch_task(self) -> None:
+        self._is_calling = False
         if self._watch_task is not None:
             # The task is suspended at an await and ends there; a response to an outstanding call is dropped.
             self._watch_task.cancel()
             self._watch_task = None
 
+    def _cancel_superseded_task(self) -> None:
+        if self._superseded_task is not None:
+            self._superseded_task.cancel()
+            self._superseded_task = None
+
+    def _is_superseded(self) -> bool:
+        return asyncio.current_task() is self._superseded_task
+
     async def _run_watch(self, address: Address) -> None:
         connection = DiscoveryConnection(address, self._timeouts.connect_s)
         failures = 0
         try:
-            while True:
+            while not self._is_superseded():
                 try:
                     await self._update_list(connection)
                     failures = 0
                     continue
                 except Exception as error:  # any error: a watch task that ended here would go unnoticed
                     connection.close()
+                    if self._is_superseded():
+                        return
+                    self._is_calling = False
                     transition = self._transition(classify_failure(error))
                     if transition.is_failure:
                         failures += 1
@@ -137,6 +176,8 @@
                     await asyncio.sleep(self._retry_delay_s(failures))
         finally:
             connection.close()
+            if self._is_superseded():
+                self._superseded_task = None
 
     def _transition(self, event: WatchEvent) -> Transition:
         transition = TRANSITIONS[self._state, event]
@@ -154,13 +195,20 @@
         known_revision = self._revision
         clock = asyncio.get_running_loop().time
         called_at_s = clock()
+        self._is_calling = True
         response = await self._call(connection)
         endpoint_list = read_list(response, self._settings)
+        if self._is_superseded():
+            self._observer.endpoint_list_received(endpoint_list)
+            self._has_list.set()
+            return
+        self._is_calling = False
         revision = endpoint_list.revision
         if state is not WatchState.FULL_LIST_NEEDED and revision < known_revision:
             # A different discovery service responded, or the same one after a loss of its data: its revisions
             # cannot be compared with ours.
             raise RevisionWentBackError(f"revision {revision} after {known_revision}")
+        self._cancel_superseded_task()
         self._observer.endpoint_list_received(endpoint_list)
         self._revision = revision
         self._transition(WatchEvent.LIST_RECEIVED)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -15,6 +15,7 @@
 from alderspool.balancer.settings import RequestClass, Settings
 from alderspool.balancer.settings_reader import read_settings
 from alderspool.program.config import flatten
+from alderspool.routing.messages import EndpointList
 from alderspool.transport.discovery import DiscoveryClient
 from alderspool.transport.discovery_backoff import JitteredBackoff
 from alderspool.transport.discovery_timeouts import DiscoveryTimeouts
@@ -340,6 +341,72 @@
     second_discovery.server.close()
 
 
+class HeldDiscovery(ScriptedServer):
+    """A discovery service that responds with a complete list of this revision, once `release` is set."""
+
+    def __init__(self, revision: int) -> None:
+        super().__init__("discovery", lambda _: self._respond())
+        self.release = asyncio.Event()
+        self.called = asyncio.Event()
+        self._revision = revision
+
+    async def _respond(self) -> bytes:
+        self.called.set()
+        await self.release.wait()
+        return Rig.list_response(None, index=self._revision, snapshot=True)
+
+
+class ListRecorder(RecordingExchange):
+    """Records the revisions of the lists that it receives."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.revisions: list[int] = []
+        self.received = asyncio.Event()
+
+    def endpoint_list_received(self, endpoint_list: EndpointList) -> None:
+        self.revisions.append(endpoint_list.revision)
+        self.received.set()
+
+
+@async_test
+@pytest.mark.parametrize(
+    ("release_order", "accepted"),
+    [
+        pytest.param((0, 3), (0, 3), id="oldest first"),
+        pytest.param((3, 0), (3,), id="newest first"),
+        pytest.param((1, 2, 0), (0,), id="given up ones first"),
+    ],
+)
+async def test_configurations_that_outpace_discovery_do_not_keep_the_proxy_from_a_list(
+    release_order: tuple[int, ...], accepted: tuple[int, ...]
+) -> None:
+    """Guards against an endless wait for a list: each new address used to cancel the call in progress.
+
+    Of the calls to four addresses in a row, the first and the last go on. The response to an earlier call
+    does not replace that to a later one.
+    """
+    services = [HeldDiscovery(revision) for revision in range(4)]
+    for service in services:
+        await service.start()
+    exchange = ListRecorder()
+    client = DiscoveryClient(("127.0.0.1", 9), exchange, read_settings(flatten(SETTINGS)), 7)
+    for service in services:
+        client.switch_address(("127.0.0.1", service.port))
+        await service.called.wait()
+    for number in release_order:
+        exchange.received.clear()
+        services[number].release.set()
+        if number in accepted:
+            await exchange.received.wait()
+    if release_order[-1] not in accepted:
+        await services[release_order[-1]].peer_closed.wait()
+    assert tuple(dict.fromkeys(exchange.revisions)) == accepted
+    client.watch(False)
+    for service in services:
+        service.server.close()
+
+
 @async_test
 @pytest.mark.parametrize(
     ("is_switched", "longest_delays"),
