Process client input in fair turns, 2 ms in each iteration of the event loop

Cause: in one iteration of the event loop each readable connection parsed 16 KiB, 2 ms with such chunks, before any response, timer or further accept had its turn. Change: parsing and submitting are queued by start-time fair queueing, at most 2 ms in an iteration, 4 KiB and one request at a time; up to 8 connections are accepted in an iteration.

--- a/alderspool/protocol/http_server.py
+++ b/alderspool/protocol/http_server.py
@@ -162,6 +162,11 @@
         """Whether a complete request is queued for `next`."""
         return bool(self._complete_requests)
 
+    @property
+    def can_return_request(self) -> bool:
+        """Whether `next` returns a complete request."""
+        return bool(self._complete_requests) and self._request_in_progress is None
+
     @property
     def has_further_input(self) -> bool:
         """Whether all or part of a request after the one in progress has been received."""
--- a/alderspool/transport/acceptor.py
+++ b/alderspool/transport/acceptor.py
@@ -1,4 +1,4 @@
-"""Accepts client connections from the listening socket, one at a time and within the descriptor budget.
+"""Accepts client connections from the listening socket, a few at a time and within the descriptor budget.
 
 An accepted connection is handed to a callback, which serves it.
 """
@@ -20,6 +20,9 @@
 # at full speed must not fill the memory before the first request of each has been processed.
 RECEIVE_BUFFER_BYTES = 16 * 1024
 ACCEPT_RETRY_DELAY_S = 0.01
+# Connections accepted in one iteration of the event loop, so that a client behind many others in the queue
+# does not wait for an iteration for each of them.
+ACCEPTS_PER_ITERATION = 8
 
 # Called for each new connection. The returned coroutine is run as a task.
 ConnectionCallback = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Coroutine[Any, Any, None]]
@@ -77,14 +80,20 @@
 
     def _resume(self) -> None:
         if self._is_accepting:
-            self._loop.add_reader(self._socket, self._accept_one)
+            self._loop.add_reader(self._socket, self._accept_some)
 
-    def _accept_one(self) -> bool:
-        """Accept one connection and count it at once; return whether there was one.
+    def _accept_some(self) -> None:
+        """Accept a few connections: accepting the whole queue in one go would block the event loop.
 
-        Accepting the whole queue in one go would exceed the descriptor limit before the first connection is
-        counted, and would block the event loop meanwhile.
+        If one has to be evicted, only one is accepted, since its descriptor is freed in the next iteration.
         """
+        for _ in range(ACCEPTS_PER_ITERATION):
+            must_evict = self._budget.is_exhausted
+            if not self._accept_one() or must_evict:
+                return
+
+    def _accept_one(self) -> bool:
+        """Accept one connection and count it at once; return whether there was one."""
         try:
             connection, _ = self._socket.accept()
         except (BlockingIOError, InterruptedError, ConnectionAbortedError):
--- a/alderspool/transport/client_connection.py
+++ b/alderspool/transport/client_connection.py
@@ -32,6 +32,7 @@
 from alderspool.transport.eviction import EvictionClass
 from alderspool.transport.lingering_close import LingeringCloseStep
 from alderspool.transport.memory_budget import MemoryBudget
+from alderspool.transport.processing_turns import TurnTaker
 from alderspool.transport.streams import CountingReader, is_open_without_input, peer_has_closed
 
 # Keyed by the state and whether a response has been sent. A connection in a state without an entry must not
@@ -89,7 +90,8 @@
         self.writer = writer
         self.codec = HttpServerCodec()
         self.state = IDLE
-        # Input that was read while a request was pending, to be parsed after the response.
+        self.turn_taker = TurnTaker()
+        # Input that has been read, and is parsed when the connection's turn comes.
         self.unparsed: ReceivedData | None = None
         self.memory_bytes = 0  # as counted in the owner's memory budget
         self.request_id = 0  # the exchange's id of the pending request; 0: none
@@ -155,8 +157,12 @@
         """Measure timeouts from now."""
         self.timeout_started_s = self._owner.loop.time()
 
-    def receive(self, received: ReceivedData) -> None:
-        """Parse received bytes."""
+    def parse(self) -> None:
+        """Parse the input that has been read."""
+        if self.unparsed is None:
+            return
+        received = self.unparsed
+        self.unparsed = None
         self.codec.receive(received.data, received.received_at_s)
         if self.state is IDLE and not self.codec.is_idle:
             self.apply_event(REQUEST_STARTED)
@@ -221,6 +227,12 @@
         self._discarded_bytes += byte_count
         return not lingering_close.exceeds_limit(self._discarded_bytes)
 
+    def discard_unparsed(self) -> None:
+        """Discard input that has been read but not parsed when the lingering close began."""
+        if self.unparsed is not None:
+            self.discard(len(self.unparsed.data))
+            self.unparsed = None
+
     def check_lingering_close(self, now_s: float) -> None:
         """Close or abort the connection if its lingering close has timed out."""
         unsent_bytes = self.writer.transport.get_write_buffer_size()
--- a/alderspool/transport/request_loop.py
+++ b/alderspool/transport/request_loop.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import socket
+from functools import partial
 
 from alderspool.protocol.client_messages import (
     InvalidRequest,
@@ -27,6 +28,7 @@
 from alderspool.transport.connection_table import ConnectionTable
 from alderspool.transport.descriptor_budget import DescriptorBudget
 from alderspool.transport.limited_log import FirstWarningLog
+from alderspool.transport.processing_turns import ProcessingTurns
 from alderspool.transport.streams import READ_SIZE
 
 # How often to check for a client disconnect while the connection is not being read.
@@ -55,6 +57,7 @@
         self._table = table
         self._budget = budget
         self._log = log
+        self._turns = ProcessingTurns(table.loop, table.loop.time)
         self._has_tcp_info = False
 
     def detect_tcp_info(self, listening_socket: socket.socket) -> None:
@@ -90,31 +93,31 @@
 
     async def _process_input(self, connection: ClientConnection) -> None:
         """Read and process input until the connection ends."""
-        while True:
-            if connection.state is LINGERING_CLOSE:
-                data = await connection.reader.read(READ_SIZE)
-                if not data or not connection.discard(len(data)):
-                    return
-                continue
-            step = connection.codec.next()
-            if step is NEED_DATA:
-                if not await self._read(connection):
-                    return
-            elif step is PAUSED:
-                connection.apply_event(ConnectionEvent.NEXT_REQUEST_COMPLETE)
-                if not await self._wait_for_response(connection):
-                    return
-            elif step is CONTINUE:
-                connection.send_continue()
-            elif step is ENDED:
-                return
-            else:
-                self._handle(connection, step)
-                # Apply backpressure: responses that the client does not read must not fill the memory.
-                await connection.writer.drain()
+        while await self._process_next(connection):
+            pass
+
+    async def _process_next(self, connection: ClientConnection) -> bool:
+        """Wait for what comes next on a connection, and process it; return False at its end."""
+        if connection.state is LINGERING_CLOSE:
+            data = await connection.reader.read(READ_SIZE)
+            return bool(data) and connection.discard(len(data))
+        if connection.codec.can_return_request:
+            return await self._take_turn(connection)
+        step = connection.codec.next()
+        if step is NEED_DATA:
+            return await self._read(connection) and await self._take_turn(connection)
+        if step is PAUSED:
+            connection.apply_event(ConnectionEvent.NEXT_REQUEST_COMPLETE)
+            return await self._wait_for_response(connection)
+        if step is CONTINUE:
+            connection.send_continue()
+        elif isinstance(step, InvalidRequest):
+            # The client must reconnect before it can repeat the request.
+            connection.send(invalid_request_as_http(step), is_last=True)
+        return step is not ENDED
 
     async def _read(self, connection: ClientConnection) -> bool:
-        """Read and parse a piece of input; return False at its end.
+        """Read a piece of input to be parsed; return False at the end of input.
 
         Reading goes on while a request is pending, as that detects a client disconnect at once. What is read
         then is parsed only after the response, when it can be processed: parsed requests take much more
@@ -128,18 +131,30 @@
             return connection.discard(len(data))
         if was_idle and connection.has_responded:
             connection.restart_timeout()
-        received = ReceivedData(data, self._arrival_time_s(connection))
-        if connection.has_pending_request:
-            connection.unparsed = received
-            if not await self._wait_for_response(connection):
-                return False
-            connection.unparsed = None
-            if connection.state is LINGERING_CLOSE:
-                return connection.discard(len(data))
-        connection.receive(received)
+        connection.unparsed = ReceivedData(data, self._arrival_time_s(connection))
+        return not connection.has_pending_request or await self._wait_for_response(connection)
+
+    async def _take_turn(self, connection: ClientConnection) -> bool:
+        """Parse what has been read and process one complete request, when the connection's turn comes.
+
+        Returns False if the client was found to have disconnected.
+        """
+        has_waited = await self._turns.run(connection.turn_taker, partial(self._process, connection))
+        # Apply backpressure: responses that the client does not read must not fill the memory.
+        await connection.writer.drain()
+        return not (has_waited and connection.is_disconnected())
+
+    def _process(self, connection: ClientConnection) -> None:
+        if connection.state is LINGERING_CLOSE:  # begun during the wait
+            connection.discard_unparsed()
+            return
+        connection.parse()
         if self._table.memory.is_exceeded and self._table.shed_memory():
             self._log.warn("memory budget exceeded: large incomplete requests are rejected")
-        return True
+        if connection.codec.can_return_request and connection.state is not LINGERING_CLOSE:
+            step = connection.codec.next()
+            assert isinstance(step, RawRequest)
+            self._handle(connection, step)
 
     def _arrival_time_s(self, connection: ClientConnection) -> float:
         """Return when the bytes just read arrived, on the clock of the event loop."""
@@ -165,14 +180,9 @@
                     return False
         return True
 
-    def _handle(self, connection: ClientConnection, message: RawRequest | InvalidRequest) -> None:
-        """Process a complete request, or reject invalid input and close the connection.
-
-        After invalid input the client must reconnect before it can repeat the request.
-        """
-        invalid = (
-            message if isinstance(message, InvalidRequest) else self._handle_request(connection, message)
-        )
+    def _handle(self, connection: ClientConnection, raw: RawRequest) -> None:
+        """Process a complete request; if it is invalid, respond with the error and close the connection."""
+        invalid = self._handle_request(connection, raw)
         if invalid is not None:
             connection.send(invalid_request_as_http(invalid), is_last=True)
 
