Begin no attempt for a client whose disconnect may be behind unread input

Cause: the proxy stops reading 32 KiB behind a pending request, so the FIN behind that has not arrived. Change: no retry or hedge while the client has unread input; a request that has waited behind another is processed once the input behind it is read and 10 ms quiet, and gets 503 if that is more than the proxy reads ahead.

--- a/alderspool/routing/attempts.py
+++ b/alderspool/routing/attempts.py
@@ -74,7 +74,8 @@
         if pending.request.is_disconnected():
             self._responder.disconnect(pending)
             return False
-        return True
+        # The first attempt follows at once on the request, when the client was there.
+        return attempt.number == 0 or not pending.request.may_hide_disconnect()
 
     def time_left_ms(self, attempt: Attempt) -> float:
         """Return the remaining time to send to the endpoint with an attempt."""
--- a/alderspool/routing/messages.py
+++ b/alderspool/routing/messages.py
@@ -34,6 +34,8 @@
     is_retry: bool = False
     cost_hint_ms: float = 0.0  # 0: no hint
     is_disconnected: Callable[[], bool] = _never_disconnected  # called just before each attempt is written
+    # Whether the client may have disconnected without a way to tell; called before each retry or hedge.
+    may_hide_disconnect: Callable[[], bool] = _never_disconnected
     waited_ms: float = 0.0  # 0 for a wait in the kernel that the kernel does not report
 
 
--- a/alderspool/transport/client_connection.py
+++ b/alderspool/transport/client_connection.py
@@ -33,7 +33,12 @@
 from alderspool.transport.lingering_close import LingeringCloseStep
 from alderspool.transport.memory_budget import MemoryBudget
 from alderspool.transport.processing_turns import TurnTaker
-from alderspool.transport.streams import CountingReader, is_open_without_input, peer_has_closed
+from alderspool.transport.streams import (
+    CountingReader,
+    has_input_in_kernel,
+    is_open_without_input,
+    peer_has_closed,
+)
 
 # Keyed by the state and whether a response has been sent. A connection in a state without an entry must not
 # be evicted: it has a pending request, or is closed.
@@ -93,6 +98,9 @@
         self.turn_taker = TurnTaker()
         # Input that has been read, and is parsed when the connection's turn comes.
         self.unparsed: ReceivedData | None = None
+        # Everything before the request that is arriving had been read when it began to arrive: so the client
+        # was still there then.
+        self.is_caught_up = False
         self.memory_bytes = 0  # as counted in the owner's memory budget
         self.request_id = 0  # the exchange's id of the pending request; 0: none
         self.has_submitted = False  # a request has been submitted: counted as a keep-alive connection
@@ -147,6 +155,15 @@
         """
         return peer_has_closed(self.writer)
 
+    def may_hide_disconnect(self) -> bool:
+        """Return whether the end of the connection may be behind input that the proxy has not read yet."""
+        return has_input_in_kernel(self.writer)
+
+    @property
+    def is_read_ahead_full(self) -> bool:
+        """Whether reading is paused, because the client has sent too much behind a request."""
+        return not self.writer.transport.is_reading()  # type: ignore[attr-defined]  # of a read transport
+
     def is_open_without_input(self) -> bool:
         """Return whether the connection is open and has no unread or unparsed input."""
         return self.unparsed is None and is_open_without_input(self.reader, self.writer)
--- a/alderspool/transport/request_loop.py
+++ b/alderspool/transport/request_loop.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import socket
+from collections.abc import Callable
 from functools import partial
 
 from alderspool.protocol.client_messages import (
@@ -33,6 +34,8 @@
 
 # How often to check for a client disconnect while the connection is not being read.
 DISCONNECT_CHECK_INTERVAL_S = 0.05
+# A client that has sent nothing for this long has no further input on its way: longer than a round trip.
+QUIET_TIME_S = 0.01
 # Bytes that are parsed at a time. A few of them can complete many requests, which are then held until their
 # turn comes.
 PARSE_SIZE = 4 * 1024
@@ -102,10 +105,10 @@
             data = await connection.reader.read(READ_SIZE)
             return bool(data) and connection.discard(len(data))
         if connection.codec.can_return_request:
-            return await self._take_turn(connection)
+            return await self._read_ahead(connection) and await self._take_turn(connection, self._handle_next)
         step = connection.codec.next()
         if step is NEED_DATA:
-            return await self._read(connection) and await self._take_turn(connection)
+            return await self._read(connection) and await self._take_turn(connection, self._parse)
         if step is PAUSED:
             connection.apply_event(ConnectionEvent.NEXT_REQUEST_COMPLETE)
             return await self._wait_for_response(connection)
@@ -124,6 +127,7 @@
         memory.
         """
         was_idle = connection.is_idle
+        was_caught_up = not connection.reader.unread
         data = await connection.reader.read(PARSE_SIZE)
         if not data:
             return False
@@ -131,26 +135,50 @@
             return connection.discard(len(data))
         if was_idle and connection.has_responded:
             connection.restart_timeout()
+        if connection.is_idle:
+            connection.is_caught_up = was_caught_up
         connection.unparsed = ReceivedData(data, self._arrival_time_s(connection))
         return not connection.has_pending_request or await self._wait_for_response(connection)
 
-    async def _take_turn(self, connection: ClientConnection) -> bool:
-        """Parse what has been read and process one complete request, when the connection's turn comes.
+    async def _read_ahead(self, connection: ClientConnection) -> bool:
+        """Read as far as possible before a request that has waited behind another is processed.
+
+        A client may have sent much at once and left: then the end of the connection is behind what it has
+        sent, and part of that may still be on its way. Returns False if the client has disconnected.
+        """
+        while not connection.is_disconnected():
+            quiet_s = self._table.loop.time() - connection.reader.last_received_at_s
+            is_quiet = quiet_s >= QUIET_TIME_S and not connection.may_hide_disconnect()
+            if is_quiet or connection.is_read_ahead_full:
+                return True
+            await asyncio.sleep(max(QUIET_TIME_S - quiet_s, 0.0))
+        return False
+
+    async def _take_turn(
+        self, connection: ClientConnection, process: Callable[[ClientConnection], None]
+    ) -> bool:
+        """Run a step of processing when the connection's turn comes.
 
         Returns False if the client was found to have disconnected.
         """
-        has_waited = await self._turns.run(connection.turn_taker, partial(self._process, connection))
+        has_waited = await self._turns.run(connection.turn_taker, partial(process, connection))
         # Apply backpressure: responses that the client does not read must not fill the memory.
         await connection.writer.drain()
         return not (has_waited and connection.is_disconnected())
 
-    def _process(self, connection: ClientConnection) -> None:
+    def _parse(self, connection: ClientConnection) -> None:
+        """Parse what has been read. Process the request that this completes, if nothing was before it."""
         if connection.state is LINGERING_CLOSE:  # begun during the wait
             connection.discard_unparsed()
             return
         connection.parse()
         if self._table.memory.is_exceeded and self._table.shed_memory():
             self._log.warn("memory budget exceeded: large incomplete requests are rejected")
+        if connection.is_caught_up:
+            self._handle_next(connection)
+
+    def _handle_next(self, connection: ClientConnection) -> None:
+        """Process the next complete request, if there is one."""
         if connection.codec.can_return_request and connection.state is not LINGERING_CLOSE:
             step = connection.codec.next()
             assert isinstance(step, RawRequest)
@@ -188,7 +216,12 @@
 
     def _handle_request(self, connection: ClientConnection, raw: RawRequest) -> InvalidRequest | None:
         """Submit a request, or answer a readiness query; return the error if the request is invalid."""
-        if self._table.memory.is_exceeded and connection.exceeds_guaranteed_memory:
+        was_caught_up = connection.is_caught_up
+        connection.is_caught_up = False
+        # If reading is paused, nobody can tell whether the client is still there.
+        may_have_left = connection.is_read_ahead_full and not was_caught_up
+        is_over_memory = self._table.memory.is_exceeded and connection.exceeds_guaranteed_memory
+        if may_have_left or is_over_memory:
             connection.send(as_client_response(Rejected()))
             return None
         request = self._request_reader.read(raw)
@@ -203,6 +236,7 @@
             self._table.count_keep_alive(connection)
         connection.begin_request()
         request.is_disconnected = connection.is_disconnected
+        request.may_hide_disconnect = connection.may_hide_disconnect
         now_s = self._table.loop.time()
         request.waited_ms = (now_s - raw.received_at_s) * 1000.0
         request_id = self._exchange.submit(request, connection.respond)
--- a/alderspool/transport/streams.py
+++ b/alderspool/transport/streams.py
@@ -20,9 +20,11 @@
     """A stream reader that counts the bytes that have been received but not read yet."""
 
     unread = 0
+    last_received_at_s = 0.0  # when the transport last received bytes, in event loop time
 
     def feed_data(self, data: bytes) -> None:  # type: ignore[override]  # the transport feeds only bytes
         """Buffer bytes that the transport has received."""
+        self.last_received_at_s = self._loop.time()  # type: ignore[attr-defined]  # of StreamReader
         self.unread += len(data)
         super().feed_data(data)
 
@@ -61,6 +63,15 @@
     return not poll.poll(0)
 
 
+def has_input_in_kernel(writer: asyncio.StreamWriter) -> bool:
+    """Return whether the kernel has input that the transport has not read, or the end of the stream."""
+    if writer.transport.is_closing():
+        return False
+    poll = select.poll()
+    poll.register(writer.get_extra_info("socket").fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def peer_has_closed(writer: asyncio.StreamWriter) -> bool:
     """Return whether the peer has closed at least its write side, or the connection is lost.
 
