Do not run a request id again that may have run for a client that has left

Cause: the id was forgotten as soon as the attempts of the disconnected client had been cancelled. Evidence: the new test in tests/test_disconnects.py failed for both classes on the program before and passes now.

--- a/alderspool/balancer/retry_rules.py
+++ b/alderspool/balancer/retry_rules.py
@@ -14,6 +14,12 @@
 TRANSIT_CLOCK_STEPS = 4  # margin for transit: a retry is sent this long before the deduplication window ends
 
 
+def never_ran_statuses(settings: Settings) -> tuple[AttemptStatus, ...]:
+    """Return the statuses that prove that an attempt never ran."""
+    may_have_run = {AttemptStatus.REJECTED} if settings.rejected_may_have_run else set()
+    return tuple(sorted(NEVER_RAN - may_have_run))
+
+
 class RetryRules:
     """Decides which requests may be repeated and where, by the settings of their class."""
 
@@ -21,8 +27,7 @@
         self._settings = settings
         self._latency = latency
         self._classes = settings.classes
-        statuses = NEVER_RAN - ({AttemptStatus.REJECTED} if settings.rejected_may_have_run else set())
-        self.never_ran_statuses = tuple(sorted(statuses))  # prove that an attempt never ran
+        self.never_ran_statuses = never_ran_statuses(settings)
 
     def may_attempt(self, request: RequestState, now: float) -> bool:
         """Whether the first or a further attempt of the request may be sent now."""
--- a/alderspool/routing/attempts.py
+++ b/alderspool/routing/attempts.py
@@ -6,6 +6,8 @@
 
 from alderspool.balancer.actions import Send
 from alderspool.balancer.events import AttemptStatus, EndpointId, Outcome
+from alderspool.balancer.retry_rules import never_ran_statuses
+from alderspool.balancer.settings import Settings
 from alderspool.routing.balancer_loop import BalancerLoop
 from alderspool.routing.clock import Clock
 from alderspool.routing.counts import RequestCounts
@@ -27,9 +29,9 @@
         responder: FinalResponder,
         counts: RequestCounts,
         upstream: Upstream,
-        max_attempts: int,
+        settings: Settings,
     ) -> None:
-        """Create a controller without attempts. `max_attempts` limits the attempts of each request."""
+        """Create a controller without attempts."""
         self._clock = clock
         self._pending_requests = pending_requests
         self._endpoints = endpoints
@@ -38,7 +40,8 @@
         self._responder = responder
         self._counts = counts
         self._upstream = upstream
-        self._max_attempts = max_attempts
+        self._max_attempts = settings.max_attempts
+        self._never_ran_statuses = never_ran_statuses(settings)
         self._loop = asyncio.get_running_loop()
 
     def start(self, action: Send) -> None:
@@ -94,6 +97,8 @@
         pending.running_attempts -= 1
         if status == AttemptStatus.OK:
             self._responder.serve(pending, payload)
+        if attempt.written and status not in self._never_ran_statuses:
+            pending.may_have_run = True
         latency_ms = self._clock.now() - attempt.started_at
         self._balancer_loop.feed(
             Outcome(
--- a/alderspool/routing/exchange.py
+++ b/alderspool/routing/exchange.py
@@ -24,7 +24,7 @@
     Request,
     UpdateMode,
 )
-from alderspool.balancer.settings import Settings
+from alderspool.balancer.settings import Idempotency, Settings
 from alderspool.routing.action_handlers import FleetActionHandlers, RequestActionHandlers
 from alderspool.routing.attempts import AttemptController
 from alderspool.routing.balancer_loop import BalancerLoop, BalancerProtocol
@@ -96,7 +96,7 @@
             self._responder,
             self.counts,
             upstream,
-            self._settings.max_attempts,
+            self._settings,
         )
         request_handlers = RequestActionHandlers(
             self._clock, self._pending_requests, self._attempts, self._responder
@@ -136,6 +136,14 @@
         """
         return self._pending_requests.has_client_request_id(client_request_id)
 
+    def may_have_executed(self, request: ClientRequest) -> bool:
+        """Return whether a request may have run already, under the same id, and must not run twice.
+
+        A client that left before its response arrived may send its request again.
+        """
+        is_idempotent = self._settings.classes[request.cls].idempotency == Idempotency.IDEMPOTENT
+        return not is_idempotent and self._pending_requests.may_have_run_abandoned(request.client_request_id)
+
     def submit(self, request: ClientRequest, respond: ResponseCallback) -> int:
         """Submit a request and return its id, or 0 if it was rejected without consulting the balancer.
 
--- a/alderspool/routing/pending_requests.py
+++ b/alderspool/routing/pending_requests.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from alderspool.routing.abandoned_request_ids import AbandonedRequestIds
 from alderspool.routing.clock import MS_PER_S, Clock
 from alderspool.routing.messages import Attempt, ClientRequest, ResponseCallback
 
@@ -47,6 +48,7 @@
     is_concluded: bool = False
     attempts: list[Attempt] = field(default_factory=list)
     running_attempts: int = 0  # number of attempts that have not ended
+    may_have_run: bool = False  # an attempt has ended without proof that it never ran
 
 
 PendingCallback = Callable[[PendingRequest], None]
@@ -75,6 +77,7 @@
         self._loop = asyncio.get_running_loop()
         self._pending: dict[int, PendingRequest] = {}
         self._client_request_ids: set[bytes] = set()
+        self._abandoned_ids = AbandonedRequestIds()
         self._last_id = 0
 
     def __len__(self) -> int:
@@ -94,6 +97,10 @@
         """Return whether a request with this client-assigned id is in the table."""
         return client_request_id in self._client_request_ids
 
+    def may_have_run_abandoned(self, client_request_id: bytes) -> bool:
+        """Return whether a request with this id may have run, and its client left before a response."""
+        return self._abandoned_ids.contains(client_request_id, self._clock.now())
+
     def is_concluded(self, request_id: int) -> bool:
         """Return whether a request needs no further response. True also if it is not in the table."""
         pending = self._pending.get(request_id)
@@ -125,6 +132,8 @@
         pending.timer.cancel()
         if self._pending.pop(pending.id, None) is not None:
             self._client_request_ids.discard(pending.request.client_request_id)
+            if pending.may_have_run and pending.state is PendingState.CLIENT_DISCONNECTED:
+                self._abandoned_ids.record(pending.request.client_request_id, self._clock.now())
 
     def _deadline_passed(self, request_id: int) -> None:
         pending = self._pending.get(request_id)
--- a/alderspool/transport/request_loop.py
+++ b/alderspool/transport/request_loop.py
@@ -232,6 +232,8 @@
             return None
         if self._exchange.is_pending(request.client_request_id):
             return InvalidRequest(400, "X-Request-Id: that of a request which is still open")
+        if self._exchange.may_have_executed(request):
+            return InvalidRequest(400, "X-Request-Id: that of a request which may have run")
         if not connection.has_submitted:
             self._table.count_keep_alive(connection)
         connection.begin_request()
--- a/tests/test_accept_queue.py
+++ b/tests/test_accept_queue.py
@@ -64,7 +64,12 @@
     def __init__(self, limit: int) -> None:
         settings = Settings(classes=[RequestClass("look", latency_objective_ms=400.0, deadline_ms=1000.0)])
         self.submitted: list[ClientRequest] = []
-        exchange = SimpleNamespace(can_serve=False, is_pending=lambda _: False, submit=self._submit)
+        exchange = SimpleNamespace(
+            can_serve=False,
+            is_pending=lambda _: False,
+            may_have_executed=lambda _: False,
+            submit=self._submit,
+        )
         self.listener = Listener(exchange, RequestReader(settings), DescriptorBudget(limit), MEMORY_MB)
         self.listener.bind("127.0.0.1", 0)
         self.listener.start_accepting()
--- a/tests/test_disconnects.py
+++ b/tests/test_disconnects.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 
+import pytest
 from rig import NOT_RUN, OK, Rig, ScriptedServer, async_test, read_message, request
 
 BODY = b"m" * 60_000
@@ -79,3 +80,34 @@
         assert set(statuses[1:]) <= {b"200", b"503"}
         assert statuses.count(b"200") == len(endpoint.received_requests)
         writer.close()
+
+
+@async_test
+@pytest.mark.parametrize(
+    ("class_name", "expected_status", "expected_runs"),
+    [("look", 200, 2), ("pay", 400, 1), ("put", 400, 1)],
+    ids=["idempotent", "non-idempotent", "keyed"],
+)
+async def test_request_id_that_may_have_run_for_a_client_that_left_is_not_run_again(
+    class_name: str, expected_status: int, expected_runs: int
+) -> None:
+    """Guards against a second run of an id that comes again after its client has left."""
+    endpoint = ScriptedServer("s1", lambda server: OK if len(server.received_requests) > 1 else None)
+    async with Rig(endpoint) as rig:
+        _, writer = await rig.connect(request(class_name, X_Request_Id="again"))
+        while not endpoint.received_requests:
+            await asyncio.sleep(0.005)
+        writer.close()
+        await endpoint.peer_closed.wait()
+        assert (await rig.get_response(class_name, X_Request_Id="again"))[0] == expected_status
+        assert len(endpoint.received_requests) == expected_runs
+
+
+@async_test
+async def test_request_id_that_has_not_run_can_come_again() -> None:
+    """The proxy closed an idle connection, say, and the client sends its request on a new one."""
+    endpoint = ScriptedServer("s1", NOT_RUN)
+    async with Rig(endpoint) as rig:
+        assert (await rig.get_response("pay", 400, X_Request_Id="again"))[0] == 503
+        endpoint.reply = OK
+        assert (await rig.get_response("pay", X_Request_Id="again"))[0] == 200
--- a/tests/test_pending_requests.py
+++ b/tests/test_pending_requests.py
@@ -7,6 +7,7 @@
 import pytest
 from rig import async_test
 
+from alderspool.routing.abandoned_request_ids import KEPT_MS, MAX_IDS, AbandonedRequestIds
 from alderspool.routing.clock import Clock
 from alderspool.routing.messages import ClientRequest
 from alderspool.routing.pending_requests import (
@@ -159,3 +160,25 @@
     await setup.was_overdue.wait()
 
     assert setup.past_deadline == [control]
+
+
+# ---- ids of requests whose clients have left -------------------------------------------------------------
+
+
+def test_abandoned_id_is_forgotten_after_its_time() -> None:
+    ids = AbandonedRequestIds()
+    ids.record(b"r-1", now=0.0)
+    assert ids.contains(b"r-1", KEPT_MS - 1.0)
+    assert not ids.contains(b"r-1", KEPT_MS)
+    ids.record(b"r-2", now=KEPT_MS)
+    assert len(ids) == 1
+
+
+def test_abandoned_ids_are_limited_in_number() -> None:
+    """Guards against memory that grows with ever new ids."""
+    ids = AbandonedRequestIds()
+    for number in range(MAX_IDS + 1):
+        ids.record(b"%d" % number, now=0.0)
+    assert len(ids) == MAX_IDS
+    assert not ids.contains(b"0", 0.0)
+    assert ids.contains(b"%d" % MAX_IDS, 0.0)
