Let an endpoint's address belong to the process that was started there last

Cause: the endpoint table compared neither the addresses of different endpoints nor the start times of one. Evidence: the new tests of tests/test_exchange.py and tests/test_endpoint_table.py failed on the program before and pass now.

--- a/alderspool/routing/exchange.py
+++ b/alderspool/routing/exchange.py
@@ -14,10 +14,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 
 from alderspool.balancer.balancer import Balancer
 from alderspool.balancer.events import (
     AttemptStatus,
+    Availability,
     EndpointId,
     EndpointListUpdate,
     HealthChecked,
@@ -230,7 +232,11 @@
     def _apply_endpoint_list(self, update: EndpointList, mode: UpdateMode) -> None:
         for endpoint_id in self._endpoints.apply(update, mode):
             self._upstream.close_idle(endpoint_id)
-        entries = [endpoint.entry for endpoint in update.endpoints]
+        superseded = self._endpoints.superseded
+        entries = [endpoint.entry for endpoint in update.endpoints if endpoint.entry.id not in superseded]
+        entries += [
+            replace(endpoint.entry, availability=Availability.GONE) for endpoint in superseded.values()
+        ]
         self._balancer_loop.feed(EndpointListUpdate(mode, entries, update.revision))
 
     # ---- called by PendingRequestTable -----------------------------------------------------------
--- a/tests/test_endpoint_table.py
+++ b/tests/test_endpoint_table.py
@@ -98,3 +98,38 @@
     table = table_of(endpoint(b"s1"), endpoint(b"s2"))
 
     assert table.apply(update(changed), UpdateMode.DELTA) == to_close
+
+
+# ---- new processes at known addresses --------------------------------------------------------------------
+
+
+def started(endpoint_id: bytes, started_at_ms: float, port: int = PORT) -> Endpoint:
+    """Return a ready endpoint whose process was started at this time."""
+    return Endpoint(EndpointEntry(endpoint_id, started_at_ms=started_at_ms), HOST, port)
+
+
+def test_idle_connections_to_an_endpoint_are_closed_when_its_process_is_started_anew() -> None:
+    """Guards against a request that is written to a process that has gone, and may have run."""
+    table = table_of(started(b"s1", 1000.0), started(b"s2", 1000.0, PORT + 1))
+
+    assert table.apply(update(started(b"s1", 2000.0)), UpdateMode.DELTA) == [b"s1"]
+    assert table.is_ready_at(b"s1", HOST, PORT)
+
+
+def test_endpoint_stays_superseded_after_the_new_process_at_its_address_has_gone() -> None:
+    table = table_of(started(b"s1", 1000.0))
+
+    assert table.apply(update(started(b"s9", 2000.0)), UpdateMode.DELTA) == [b"s1"]
+    assert not table.is_ready_at(b"s1", HOST, PORT)
+    assert table.is_ready_at(b"s9", HOST, PORT)
+
+    table.apply(update(endpoint(b"s9", Availability.GONE)), UpdateMode.DELTA)
+    assert not table.has_ready_endpoint
+
+
+def test_endpoints_of_one_address_with_the_same_start_time_are_all_kept() -> None:
+    table = table_of(started(b"s1", 1000.0), started(b"s2", 1000.0))
+
+    assert table.is_ready_at(b"s1", HOST, PORT)
+    assert table.is_ready_at(b"s2", HOST, PORT)
+    assert not table.superseded
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -16,6 +16,7 @@
     Availability,
     ClientDisconnected,
     EndpointEntry,
+    EndpointListUpdate,
     Event,
     Outcome,
     Request,
@@ -375,6 +376,29 @@
     assert exchange.may_write(attempt)
 
 
+@async_test
+@pytest.mark.parametrize("is_complete", [True, False], ids=["complete list", "change"])
+async def test_nothing_is_sent_to_an_endpoint_at_whose_address_a_new_process_has_come_up(
+    is_complete: bool,
+) -> None:
+    """Guards against work that goes to the wrong process: the old endpoint is still listed as ready."""
+    setup = set_up_connecting_attempt()
+    attempt = setup.attempt
+    new = Endpoint(EndpointEntry(b"s9", started_at_ms=1000.0), attempt.host, attempt.port)
+    old = Endpoint(EndpointEntry(b"s1"), attempt.host, attempt.port)
+    endpoints = [old, new] if is_complete else [new]
+
+    setup.exchange.endpoint_list_received(EndpointList(2, is_complete, endpoints))
+
+    assert not setup.exchange.may_write(attempt)
+    assert b"s1" in setup.upstream.closed
+    update = setup.balancer.events[-1]
+    assert isinstance(update, EndpointListUpdate)
+    availability = {entry.id: entry.availability for entry in update.entries}
+    assert availability[b"s1"] == Availability.GONE
+    assert availability[b"s9"] == Availability.READY
+
+
 @async_test
 async def test_attempt_whose_client_disconnected_while_connecting_is_not_written() -> None:
     setup = set_up_connecting_attempt()
