--- a/alderspool/transport/client_connection.py
+++ b/alderspool/transport/client_connection.py
@@ -52,6 +52,10 @@
 }
 
 
+# A response that changes no more than this is counted in the memory budget later, to save time.
+UNCOUNTED_BYTES = 4 * 1024
+
+
 class ReceivedData(NamedTuple):
     """A piece of input, and when it arrived on the clock of the event loop."""
 
@@ -212,7 +216,8 @@
         encoded = self.codec.compose(response.status, response.body, response.headers, close)
         self.apply_event(RESPONDED if self.codec.is_idle else RESPONDED_WITH_INPUT_LEFT)
         self.writer.write(encoded.data)
-        self.update_memory()
+        if self.memory_bytes > UNCOUNTED_BYTES or len(encoded.data) > UNCOUNTED_BYTES:
+            self.update_memory()
         if encoded.closes_connection:
             self.begin_lingering_close()
         self._owner.update_eviction(self)
