Run the idle clients of the descriptor test in a process of their own

The program was not at fault. Change: the 300 idle clients run in tests/flood.py, in a process of their own; every assertion is kept.

--- a/tests/flood.py
+++ b/tests/flood.py
@@ -18,6 +18,7 @@
 
 BODY_BYTES = 64 * 1024
 CHUNKED_CLIENTS = 300
+IDLE_CLIENTS = 300
 BATCH_BYTES = 64 * 1024
 READY = b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"
 
@@ -73,6 +74,22 @@
         await asyncio.gather(reading, return_exceptions=True)
 
 
+async def reconnect_forever(port: int) -> None:
+    """Connect, send nothing, and connect again as soon as the connection ends."""
+    while True:
+        with contextlib.suppress(OSError):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            await reader.read()
+            writer.close()
+
+
+async def stay_idle(port: int, seconds: float) -> None:
+    """Have many clients connect and send nothing."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(seconds):
+            await asyncio.gather(*(reconnect_forever(port) for _ in range(IDLE_CLIENTS)))
+
+
 def batches_of(create: Callable[[int], bytes]) -> Iterator[bytes]:
     """Yield batches of requests; each request is created with another number."""
     numbers = itertools.count()
@@ -108,6 +125,8 @@
     kind, port, seconds = sys.argv[1], int(sys.argv[2]), float(sys.argv[3])
     if kind == "chunks":
         asyncio.run(flood_with_chunks(port, seconds))
+    elif kind == "idle":
+        asyncio.run(stay_idle(port, seconds))
     else:
         asyncio.run(send_at_full_speed(port, batches_of(REQUESTS_BY_KIND[kind]), seconds))
 
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -12,7 +12,19 @@
 from collections.abc import Callable
 
 import pytest
-from rig import NOT_RUN, OK, SETTINGS, Rig, ScriptedServer, async_test, read_message, request, wait_for_target
+from flood import start_flood
+from rig import (
+    NOT_RUN,
+    OK,
+    SETTINGS,
+    TEST_TIMEOUT_S,
+    Rig,
+    ScriptedServer,
+    async_test,
+    read_message,
+    request,
+    wait_for_target,
+)
 
 HEAD_WITHOUT_LENGTH = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
 CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -307,15 +319,6 @@
 # ---- descriptor limits ----------------------------------------------------------------------------------
 
 
-async def reconnect_forever(port: int) -> None:
-    """Connect, send nothing, and connect again as soon as the connection ends."""
-    while True:
-        with contextlib.suppress(OSError):
-            reader, writer = await asyncio.open_connection("127.0.0.1", port)
-            await reader.read()
-            writer.close()
-
-
 class DescriptorCountingClient:
     """A client that counts the proxy's open descriptors before each request that it sends."""
 
@@ -337,8 +340,9 @@
 async def test_idle_clients_on_all_descriptors_block_no_list_update_attempt_or_reload() -> None:
     """300 idle clients compete for the 256 descriptors of the rig; each connects again once it is evicted.
 
-    Meanwhile discovery fails, recovers and drains an endpoint, and a reload switches to another discovery. A
-    client that is evicted before its request is read sends it again.
+    They run in a process of their own, so that they delay nobody but the proxy. Meanwhile discovery fails,
+    recovers and drains an endpoint, and a reload switches to another discovery. A client that is evicted
+    before its request is read sends it again.
     """
     discovery_down = asyncio.Event()
     new_discovery = ScriptedServer(
@@ -360,7 +364,7 @@
     drained, removed, remaining = rig.endpoints
     async with rig:
         complete_list = rig.list_response(remaining.entry(), index=1, snapshot=True)
-        idle_clients = [asyncio.create_task(reconnect_forever(rig.port)) for _ in range(300)]
+        idle_clients = await start_flood("idle", rig.port, TEST_TIMEOUT_S)
         client = DescriptorCountingClient(rig)
         while not client.open_descriptors or client.open_descriptors[-1] < 120:
             assert await client.send(1) in ([200], [503])
@@ -377,7 +381,6 @@
         assert 200 in await client.send(6)
         assert (len(drained.received_requests), len(removed.received_requests)) == before
         assert max(client.open_descriptors) <= 256
-        for task in idle_clients:
-            task.cancel()
-        await asyncio.gather(*idle_clients, return_exceptions=True)
+        idle_clients.kill()
+        await idle_clients.wait()
     new_discovery.server.close()
